--- /dev/null
+++ b/src/cli/operators.ts
@@ -0,0 +1,97 @@
+import { Reader } from "./reader.js";
+import type { Checked } from "./settings.js";
+
+/** What operators may set beyond the platform's file. docs/operations.md tells each one's effect. */
+export interface Operators {
+  readonly memberLeaseMs: number;
+  readonly watchPauseMs: number;
+  readonly roundMs: number;
+  readonly handBackS: number;
+  readonly silenceS: number;
+  readonly swarmPeriodS: number;
+  readonly swarmMoves: number;
+  readonly swarmMaxLossS: number;
+  readonly fleetPeriodMs: number;
+  readonly idleReturnS: number;
+  readonly headroom: number;
+  readonly refusedPauseS: number;
+  readonly bootPatience: number;
+  readonly statsPeriodS: number;
+}
+
+export interface Knob {
+  readonly section: string;
+  readonly name: string;
+  readonly key: keyof Operators;
+  readonly least: number;
+  readonly most: number;
+  readonly fallback: number;
+}
+
+const knob = (
+  section: string,
+  name: string,
+  key: keyof Operators,
+  least: number,
+  most: number,
+  fallback: number,
+): Knob => ({ section, name, key, least, most, fallback });
+
+export const KNOBS: readonly Knob[] = [
+  knob("membership", "lease_ms", "memberLeaseMs", 500, 600_000, 4000),
+  knob("membership", "hand_back_s", "handBackS", 0, 86_400, 6),
+  knob("state", "watch_pause_ms", "watchPauseMs", 0, 10_000, 100),
+  knob("rounds", "period_ms", "roundMs", 10, 10_000, 250),
+  knob("machines", "silence_s", "silenceS", 1, 86_400, 10),
+  knob("swarm", "period_s", "swarmPeriodS", 0.1, 86_400, 5),
+  knob("swarm", "moves_per_round", "swarmMoves", 0, 10_000, 2),
+  knob("swarm", "max_loss_s", "swarmMaxLossS", 0, 86_400, 4),
+  knob("fleet", "period_ms", "fleetPeriodMs", 50, 60_000, 1000),
+  knob("fleet", "idle_return_s", "idleReturnS", 0, 86_400, 25),
+  knob("fleet", "headroom", "headroom", 0, 10, 0.25),
+  knob("fleet", "refused_pause_s", "refusedPauseS", 0, 86_400, 20),
+  knob("fleet", "boot_patience", "bootPatience", 1, 100, 3),
+  knob("logs", "stats_period_s", "statsPeriodS", 1, 86_400, 30),
+];
+
+export const defaultOperators = (): Operators =>
+  Object.fromEntries(KNOBS.map((k) => [k.key, k.fallback])) as unknown as Operators;
+
+/** `raw` is the HCL file as a map: blocks arrive as lists of one map. */
+export const checkOperators = (raw: Readonly<Record<string, unknown>>): Checked<Operators> => {
+  const faults: string[] = [];
+  const sections = [...new Set(KNOBS.map((k) => k.section))];
+  new Reader(raw, "", faults).only(sections);
+  const out: Record<string, number> = {};
+  for (const section of sections) {
+    const block = raw[section];
+    const body = Array.isArray(block) ? block[0] : block;
+    if (Array.isArray(block) && block.length > 1) faults.push(`${section}: block appears twice`);
+    const reader = new Reader(
+      typeof body === "object" && body !== null ? { ...body } : {},
+      section,
+      faults,
+    );
+    const knobs = KNOBS.filter((k) => k.section === section);
+    reader.only(knobs.map((k) => k.name));
+    for (const k of knobs) out[k.key] = reader.number(k.name, k.least, k.most, k.fallback);
+  }
+  return faults.length > 0
+    ? { ok: false, faults }
+    : { ok: true, value: out as unknown as Operators };
+};
+
+/** The HCL library costs half a second of processor time to load: only when there is a file. */
+export const parseOperators = async (source: string): Promise<Checked<Operators>> => {
+  const hcl = (await import("hcl2-parser")).default as {
+    parseToObject: (s: string) => readonly [unknown, unknown];
+  };
+  try {
+    const [value, error] = hcl.parseToObject(source);
+    if (error !== null && error !== undefined) return { ok: false, faults: [`not HCL: ${error}`] };
+    if (typeof value !== "object" || value === null) return { ok: false, faults: ["not HCL"] };
+    return checkOperators(value as Readonly<Record<string, unknown>>);
+  } catch (e) {
+    return { ok: false, faults: [`not HCL: ${String(e).split("\n")[0]}`] };
+  }
+};
--- /dev/null
+++ b/src/coordination/leader.ts
@@ -0,0 +1,470 @@
+import {
+  listPath,
+  MAX_RENT,
+  MAX_RETURN,
+  type MachineType,
+  parseMachineList,
+  parseRented,
+  parseTypes,
+  rentBody,
+  returnBody,
+} from "../protocol/cloud.js";
+import {
+  ABSENT,
+  type MachineId,
+  type Mono,
+  mono,
+  type ShareNo,
+  shareNo,
+  steadyNow,
+  timeOfDay,
+} from "../protocol/ids.js";
+import { rankOrder } from "../protocol/jobs.js";
+import { encodePeer } from "../protocol/peer.js";
+import type { Op, Txn } from "../protocol/store.js";
+import type { Report } from "../protocol/workers.js";
+import {
+  type DemandGroup,
+  decayingPeak,
+  type FleetMachine,
+  offerKey,
+  planFleet,
+  type Rent,
+} from "../scheduling/fleet.js";
+import { NOTHING, plus } from "../scheduling/resources.js";
+import { absorb, addressOf, type Context, refresh } from "../service/context.js";
+import { Budget } from "../storage/budget.js";
+import {
+  type HireRecord,
+  hireValue,
+  keys,
+  type MachineRecord,
+  machineValue,
+  typesValue,
+  waitingCount,
+} from "../storage/records.js";
+import type { Caller } from "../transport/client.js";
+import type { Holder } from "./holder.js";
+import type { Membership } from "./membership.js";
+
+const CLOUD_MS = 5000;
+const PEER_MS = 1000;
+const TYPES_EVERY_MS = 60_000;
+const LIST_EVERY_MS = 15_000;
+
+/** The leader's work: all calls of the cloud, and which share a free machine serves. */
+export class Leader {
+  readonly #budget: Budget;
+  readonly #refusedUntil = new Map<string, Mono>();
+  readonly #idleSince = new Map<MachineId, Mono>();
+  readonly #peaks = new Map<string, number>();
+  readonly #returned = new Set<MachineId>();
+  #typesAt: Mono = mono(Number.NEGATIVE_INFINITY);
+  #listAt: Mono = mono(Number.NEGATIVE_INFINITY);
+  #plannedAt: Mono = steadyNow();
+  #names = 0;
+  #busy = false;
+  readonly counters = { rented: 0, refused: 0, returned: 0, moved: 0, adopted: 0 };
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly membership: Membership,
+    private readonly holder: Holder,
+    private readonly cloud: Caller,
+    private readonly peers: Caller,
+  ) {
+    this.#budget = new Budget(ctx.settings.cloud.rps * 0.9, 1.5, steadyNow());
+  }
+
+  /** Only applied while this controller leads. */
+  async #txn(t: Txn): Promise<boolean> {
+    const lead = this.ctx.replica.leader;
+    if (lead === undefined || !this.membership.leads()) return false;
+    const guarded = { ...t, conditions: [...t.conditions, { key: keys.leader, rev: lead.rev }] };
+    const r = await this.ctx.store.settle(guarded, () => this.ctx.stopping);
+    if (r.kind === "applied") {
+      absorb(this.ctx.replica, t.ops, r.rev);
+      return true;
+    }
+    await refresh(
+      this.ctx,
+      guarded.conditions.map((c) => c.key),
+    );
+    return false;
+  }
+
+  async tick(): Promise<void> {
+    if (this.#busy || !this.ctx.synced || !this.membership.leads()) return;
+    this.#busy = true;
+    try {
+      await this.#returnMachines();
+      await this.#readTypes();
+      await this.#hire();
+      await this.#list();
+      await this.#plan();
+    } finally {
+      this.#busy = false;
+    }
+  }
+
+  async #cloudCall(method: string, path: string, body?: unknown) {
+    if (!this.#budget.take(1, steadyNow())) return undefined;
+    const r = await this.cloud.call(this.ctx.settings.cloudAddress, method, path, body, CLOUD_MS);
+    if (r.kind === "answer" && r.status === 429) this.#budget.drain(steadyNow());
+    return r.kind === "answer" ? r : undefined;
+  }
+
+  async #readTypes(): Promise<void> {
+    const { replica } = this.ctx;
+    const now = steadyNow();
+    if (replica.types !== undefined && now - this.#typesAt < TYPES_EVERY_MS) return;
+    const r = await this.#cloudCall("GET", "/flavors");
+    const types = r?.status === 200 ? parseTypes(r.body) : undefined;
+    if (types === undefined || types.length === 0) return;
+    this.#typesAt = now;
+    const value = typesValue(types);
+    if (JSON.stringify(value) === JSON.stringify(typesValue(replica.types?.value ?? []))) return;
+    await this.#txn({
+      conditions: [{ key: keys.types, rev: replica.rev(keys.types) }],
+      ops: [{ kind: "put", key: keys.types, value }],
+    });
+  }
+
+  // ---- Returning ----------------------------------------------------------------------------
+
+  /** A 200 is proof that the machines and all on them are gone. */
+  async #returnMachines(): Promise<void> {
+    const { replica, settings } = this.ctx;
+    const most = Math.min(MAX_RETURN, settings.state.txnOps);
+    const ids: MachineId[] = [];
+    for (const [id, m] of replica.machines)
+      if (m.value.stage === "retiring" && ids.length < most) ids.push(id);
+    if (ids.length === 0) return;
+    const r = await this.#cloudCall("POST", "/machines/return", returnBody(ids));
+    if (r?.status !== 200) return;
+    this.counters.returned += ids.length;
+    const present = ids.flatMap((id) => {
+      const m = replica.machines.get(id);
+      return m === undefined ? [] : [{ id, m }];
+    });
+    for (const id of ids) this.#returned.add(id);
+    await this.#txn({
+      conditions: present.map(({ id, m }) => ({ key: keys.machine(id), rev: m.rev })),
+      ops: present.map(({ id, m }) => ({
+        kind: "put",
+        key: keys.machine(id),
+        value: machineValue({ ...m.value, stage: "gone" }),
+      })),
+    });
+  }
+
+  // ---- Renting ------------------------------------------------------------------------------
+
+  /** Carries out written intents. A name is repeated until it has an answer, and never reused. */
+  async #hire(): Promise<void> {
+    for (const [name, h] of [...this.ctx.replica.hires]) {
+      const v = h.value;
+      const r = await this.#cloudCall("POST", "/machines", rentBody({ name, ...v }));
+      if (r === undefined) return;
+      const key = keys.hire(name);
+      if (r.status === 200) {
+        await this.#hired(name, v, parseRented(r.body) ?? []);
+        continue;
+      }
+      const refused = r.status === 503 && String(JSON.stringify(r.body)).includes("no capacity");
+      if (!refused && r.status !== 400) return;
+      this.#refuse(v);
+      await this.#txn({
+        conditions: [{ key, rev: h.rev }],
+        ops: [{ kind: "delete", key }],
+      });
+    }
+  }
+
+  #refuse(v: { readonly type: string; readonly zone: string; readonly spot: boolean }): void {
+    this.counters.refused++;
+    const until = mono(steadyNow() + this.ctx.operators.refusedPauseS * 1000);
+    this.#refusedUntil.set(offerKey(v.type, v.zone, v.spot), until);
+  }
+
+  async #hired(name: string, v: HireRecord, ids: readonly MachineId[]): Promise<void> {
+    const { replica, settings } = this.ctx;
+    this.counters.rented += ids.length;
+    if (ids.length < v.count) this.#refuse(v);
+    const record: MachineRecord = {
+      share: v.share,
+      type: v.type,
+      zone: v.zone,
+      spot: v.spot,
+      endpoint: "",
+      stage: "up",
+      rentedAt: timeOfDay(),
+    };
+    const fresh = ids.filter((id) => !replica.machines.has(id));
+    const step = Math.max(1, settings.state.txnOps - 1);
+    const key = keys.hire(name);
+    for (let i = 0; i === 0 || i < fresh.length; i += step) {
+      const part = fresh.slice(i, i + step);
+      const ops: Op[] = part.map((id) => ({
+        kind: "put",
+        key: keys.machine(id),
+        value: machineValue(record),
+      }));
+      // The intent goes with the last part: until then a successor would ask again.
+      if (i + step >= fresh.length) ops.push({ kind: "delete", key });
+      const done = await this.#txn({
+        conditions: [
+          { key, rev: replica.rev(key) },
+          ...part.map((id) => ({ key: keys.machine(id), rev: ABSENT })),
+        ],
+        ops,
+      });
+      if (!done) return;
+    }
+  }
+
+  // ---- Unexpected machines ------------------------------------------------------------------
+
+  /** A machine that no record knows: from before our time, or from a request executed late. */
+  adopt(r: Report): void {
+    void this.#adopt(r.machine, {
+      share: this.#neediestShare(),
+      type: r.type,
+      zone: r.zone,
+      spot: r.spot,
+      endpoint: r.endpoint,
+      stage: "up",
+      rentedAt: timeOfDay(),
+    });
+  }
+
+  async #adopt(id: MachineId, record: MachineRecord): Promise<void> {
+    if (this.#returned.has(id)) return;
+    const key = keys.machine(id);
+    const done = await this.#txn({
+      conditions: [{ key, rev: ABSENT }],
+      ops: [{ kind: "put", key, value: machineValue(record) }],
+    });
+    if (!done) return;
+    this.counters.adopted++;
+    this.ctx.log.info("machine adopted", { machine: id, share: record.share });
+  }
+
+  #neediestShare(): ShareNo {
+    const load = Array.from({ length: this.ctx.settings.size }, () => 0);
+    for (const m of this.ctx.replica.machines.values()) {
+      const cpus = this.#type(m.value.type)?.capacity.cpus ?? 1;
+      load[m.value.share] = (load[m.value.share] ?? 0) + cpus;
+    }
+    return shareNo(load.indexOf(Math.min(...load)));
+  }
+
+  /** Seldom: for machines that nobody reports, that failed, or that never boot. */
+  async #list(): Promise<void> {
+    const now = steadyNow();
+    if (now - this.#listAt < LIST_EVERY_MS) return;
+    this.#listAt = now;
+    let after: string | undefined;
+    for (;;) {
+      const r = await this.#cloudCall("GET", listPath(after));
+      const page = r?.status === 200 ? parseMachineList(r.body) : undefined;
+      if (page === undefined) return;
+      for (const m of page.machines) {
+        const known = this.ctx.replica.machines.get(m.id);
+        if (known === undefined) {
+          const old = m.ageS > 2 * this.ctx.settings.cloud.listLagS + CLOUD_MS / 1000;
+          if (old && m.stage !== "failed")
+            await this.#adopt(m.id, {
+              share: this.#neediestShare(),
+              type: m.type,
+              zone: m.zone,
+              spot: m.spot,
+              endpoint: m.stage === "running" ? m.endpoint : "",
+              stage: "up",
+              rentedAt: timeOfDay(),
+            });
+        } else if (m.stage === "failed") await this.#retire(m.id, "failed");
+      }
+      if (!page.more || page.machines.length === 0) return;
+      after = page.machines[page.machines.length - 1]?.id;
+    }
+  }
+
+  async #retire(id: MachineId, reason: string): Promise<void> {
+    const m = this.ctx.replica.machines.get(id);
+    if (m === undefined || m.value.stage !== "up") return;
+    this.ctx.log.info("machine retired", { machine: id, reason });
+    const key = keys.machine(id);
+    await this.#txn({
+      conditions: [{ key, rev: m.rev }],
+      ops: [{ kind: "put", key, value: machineValue({ ...m.value, stage: "retiring" }) }],
+    });
+  }
+
+  // ---- Planning -----------------------------------------------------------------------------
+
+  #type(name: string): MachineType | undefined {
+    return this.ctx.replica.types?.value.find((t) => t.name === name);
+  }
+
+  #demand(dtS: number): DemandGroup[] {
+    const { replica, settings, operators } = this.ctx;
+    const groups = new Map<
+      string,
+      { g: DemandGroup; level: number; waiting: number; rank: number }
+    >();
+    const teamRoom = new Map<string, number>();
+    for (const { value: j } of replica.jobs.values()) {
+      const share = replica.teams?.value.get(j.spec.team);
+      if (share === undefined) continue;
+      const { needs, types, zone, spotAllowed, jobClass, rank } = j.spec;
+      const shape = [
+        share,
+        jobClass,
+        needs.cpus,
+        needs.gpus,
+        needs.ramGb,
+        types?.join(),
+        zone,
+        spotAllowed,
+      ];
+      const key = shape.join("|");
+      let e = groups.get(key);
+      if (e === undefined) {
+        const g = { share, needs, types, zone, spotAllowed, wanted: 0, waiting: 0 };
+        e = { g, level: 0, waiting: 0, rank: rankOrder(rank) };
+        groups.set(key, e);
+      }
+      const team = settings.teams.find((t) => t.name === j.spec.team);
+      const room = teamRoom.get(j.spec.team) ?? team?.cpusMax ?? 0;
+      const most = needs.cpus > 0 ? Math.floor((room + 1e-9) / needs.cpus) : j.spec.tasks;
+      const waiting = Math.max(0, Math.min(waitingCount(j), most - j.open.length));
+      teamRoom.set(j.spec.team, room - (waiting + j.open.length) * needs.cpus);
+      e.level += waiting + j.open.length;
+      e.waiting += waiting;
+    }
+    for (const key of [...this.#peaks.keys()]) if (!groups.has(key)) this.#peaks.delete(key);
+    const out: { g: DemandGroup; rank: number }[] = [];
+    for (const [key, e] of groups) {
+      const peak = decayingPeak(this.#peaks.get(key) ?? 0, e.level, dtS, 60);
+      this.#peaks.set(key, peak);
+      // Running tasks already stand on machines: only the rest looks for room.
+      const wanted = Math.ceil(peak * (1 + operators.headroom)) - (e.level - e.waiting);
+      out.push({ g: { ...e.g, wanted, waiting: e.waiting }, rank: e.rank });
+    }
+    return out.sort((a, b) => a.rank - b.rank).map((x) => x.g);
+  }
+
+  async #plan(): Promise<void> {
+    const { replica, operators, settings } = this.ctx;
+    const types = replica.types?.value;
+    if (types === undefined || replica.teams === undefined) return;
+    const now = steadyNow();
+    const dtS = (now - this.#plannedAt) / 1000;
+    this.#plannedAt = now;
+    const machines: FleetMachine[] = [];
+    const late: MachineId[] = [];
+    for (const [id, m] of replica.machines) {
+      const type = this.#type(m.value.type);
+      if (m.value.stage !== "up" || type === undefined) continue;
+      const open = replica.openOn(id);
+      if (open.size > 0) this.#idleSince.delete(id);
+      else if (!this.#idleSince.has(id)) this.#idleSince.set(id, now);
+      let use = NOTHING;
+      for (const o of open.values()) {
+        const job = replica.jobs.get(o.job)?.value;
+        if (job !== undefined) use = plus(use, job.spec.needs);
+      }
+      const heldS = Math.max(0, (timeOfDay() - m.value.rentedAt) / 1000);
+      const up = m.value.endpoint !== "";
+      if (!up && heldS > type.bootS * operators.bootPatience + settings.workers.reportS) {
+        late.push(id);
+        continue;
+      }
+      machines.push({
+        id,
+        share: m.value.share,
+        type,
+        zone: m.value.zone,
+        spot: m.value.spot,
+        up,
+        use,
+        open: open.size,
+        idleS: (now - (this.#idleSince.get(id) ?? now)) / 1000,
+        heldS,
+      });
+    }
+    for (const id of [...this.#idleSince.keys()])
+      if (!replica.machines.has(id)) this.#idleSince.delete(id);
+    for (const id of late) await this.#retire(id, "never booted");
+    for (const [key, until] of this.#refusedUntil) if (until <= now) this.#refusedUntil.delete(key);
+    const plan = planFleet({
+      types,
+      machines,
+      demand: this.#demand(dtS),
+      refused: new Set(this.#refusedUntil.keys()),
+      idleReturnS: operators.idleReturnS,
+      maxRents: MAX_RENT,
+    });
+    await this.#ask(plan.moves, plan.returns);
+    await this.#intend(plan.rents);
+  }
+
+  /** Writes the intents to rent; they are carried out at once, and by any later leader. */
+  async #intend(rents: readonly Rent[]): Promise<void> {
+    const { replica, settings } = this.ctx;
+    if (rents.length === 0 || replica.hires.size > 0) return;
+    const lead = replica.leader;
+    if (lead === undefined) return;
+    // Named by this term of leadership: no two terms share a revision, no term a number.
+    const some = rents.slice(0, Math.min(settings.state.txnOps, 8)).map((r) => ({
+      name: `${lead.rev}-${++this.#names}`,
+      r: { ...r, count: Math.min(r.count, MAX_RENT) },
+    }));
+    const done = await this.#txn({
+      conditions: some.map((x) => ({ key: keys.hire(x.name), rev: ABSENT })),
+      ops: some.map((x) => ({
+        kind: "put",
+        key: keys.hire(x.name),
+        value: hireValue({ ...x.r, at: timeOfDay() }),
+      })),
+    });
+    if (done) await this.#hire();
+  }
+
+  /** Moves and returns are the holder's to carry out: it alone knows that a machine is free. */
+  async #ask(
+    moves: readonly { readonly machine: MachineId; readonly to: ShareNo }[],
+    returns: readonly MachineId[],
+  ): Promise<void> {
+    const { replica, settings, me } = this.ctx;
+    const byHolder = new Map<string, { moves: (typeof moves)[number][]; retire: MachineId[] }>();
+    const entry = (id: MachineId) => {
+      const share = replica.machines.get(id)?.value.share;
+      const label = share === undefined ? undefined : this.membership.holderOf(share)?.label;
+      if (label === undefined) return undefined;
+      const e = byHolder.get(label) ?? { moves: [], retire: [] };
+      byHolder.set(label, e);
+      return e;
+    };
+    for (const m of moves) entry(m.machine)?.moves.push(m);
+    for (const id of returns) entry(id)?.retire.push(id);
+    this.counters.moved += moves.length;
+    for (const [label, e] of byHolder) {
+      if (label === me.label) {
+        for (const m of e.moves) this.holder.requestMove(m.machine, m.to);
+        for (const id of e.retire) this.holder.requestRetire(id);
+        continue;
+      }
+      const seed = settings.seeds.find((s) => s.label === label);
+      const address = seed === undefined ? undefined : addressOf(settings, seed.label);
+      if (address === undefined) continue;
+      const payload = encodePeer({ from: me.label, moves: e.moves, retire: e.retire });
+      void this.peers.raw(address, "POST", "/peer", payload, PEER_MS);
+    }
+  }
+
+  stats(): Readonly<Record<string, unknown>> {
+    return { ...this.counters };
+  }
+}
--- /dev/null
+++ b/src/coordination/membership.ts
@@ -0,0 +1,160 @@
+import {
+  ABSENT,
+  type ControllerLabel,
+  type LeaseId,
+  type Mono,
+  mono,
+  type ShareNo,
+  steadyNow,
+} from "../protocol/ids.js";
+import type { Txn } from "../protocol/store.js";
+import { absorb, type Context, refresh } from "../service/context.js";
+import { type Holder, holderValue, keys, sameHolder, teamsValue } from "../storage/records.js";
+import { assignTeams, planShares } from "./shares.js";
+
+/** This controller's place among the others: its lease, its shares, its claim to leadership. */
+export class Membership {
+  #lease: LeaseId | undefined;
+  #renewedAt: Mono = mono(0);
+  readonly #memberSince = new Map<string, Mono>();
+  #busy = false;
+
+  constructor(private readonly ctx: Context) {}
+
+  /** Has told the others that it is here. */
+  joined(): boolean {
+    return sameHolder(this.ctx.replica.members.get(this.ctx.me.label)?.value, this.ctx.me);
+  }
+
+  leads(): boolean {
+    const l = this.ctx.replica.leader;
+    return l !== undefined && sameHolder(l.value, this.ctx.me);
+  }
+
+  /** Holds the share, and has seen everything that was written before it took it. */
+  holds(share: ShareNo): boolean {
+    const s = this.ctx.replica.shares.get(share);
+    return (
+      s !== undefined && sameHolder(s.value, this.ctx.me) && this.ctx.replica.position >= s.rev
+    );
+  }
+
+  heldShares(): readonly ShareNo[] {
+    return [...this.ctx.replica.shares.keys()].filter((n) => this.holds(n));
+  }
+
+  holderOf(share: ShareNo): Holder | undefined {
+    return this.ctx.replica.shares.get(share)?.value;
+  }
+
+  async #txn(t: Txn): Promise<boolean> {
+    const r = await this.ctx.store.settle(t, () => this.ctx.stopping);
+    if (r.kind === "applied") {
+      absorb(this.ctx.replica, t.ops, r.rev);
+      return true;
+    }
+    if (r.kind === "refused") this.#lease = undefined;
+    await refresh(
+      this.ctx,
+      t.conditions.map((c) => c.key),
+    );
+    return false;
+  }
+
+  /** Keeps the lease alive; a lapsed one is replaced, with the member record on it. */
+  async keepLease(): Promise<void> {
+    const { store, operators } = this.ctx;
+    if (this.#lease !== undefined) {
+      const r = await store.renew(this.#lease);
+      if (r === "renewed") this.#renewedAt = steadyNow();
+      if (r !== "lapsed") return;
+      this.ctx.log.info("lease lapsed", {
+        lateMs: Math.round(steadyNow() - this.#renewedAt),
+      });
+      this.#lease = undefined;
+    }
+    const lease = await store.grant(operators.memberLeaseMs);
+    if (lease === undefined) return;
+    this.#lease = lease;
+    this.#renewedAt = steadyNow();
+  }
+
+  /** One look at members, shares and leadership; writes at most what this controller owes. */
+  async tend(): Promise<void> {
+    if (this.#busy || this.#lease === undefined || !this.ctx.synced) return;
+    this.#busy = true;
+    try {
+      await this.#tend(this.#lease);
+    } finally {
+      this.#busy = false;
+    }
+  }
+
+  async #tend(lease: LeaseId): Promise<void> {
+    const { ctx } = this;
+    const { replica, me } = ctx;
+    if (!this.joined()) {
+      const key = keys.member(me.label);
+      await this.#txn({
+        conditions: [{ key, rev: replica.rev(key) }],
+        ops: [{ kind: "put", key, value: holderValue(me), lease }],
+      });
+      return;
+    }
+    if (!this.leads()) {
+      const l = replica.leader;
+      // An absent leader, one of this label's earlier start, or one whose member record is gone.
+      const free =
+        l === undefined || l.value.label === me.label || !replica.members.has(l.value.label);
+      if (free) {
+        const won = await this.#txn({
+          conditions: [{ key: keys.leader, rev: l?.rev ?? ABSENT }],
+          ops: [{ kind: "put", key: keys.leader, value: holderValue(me), lease }],
+        });
+        if (won) ctx.log.info("leads", {});
+        return;
+      }
+    }
+    if (await this.#tendTeams()) return;
+    const now = steadyNow();
+    const members = new Map<ControllerLabel, Holder>();
+    for (const [label, m] of replica.members) members.set(label, m.value);
+    for (const key of [...this.#memberSince.keys()])
+      if (![...members.values()].some((m) => m.incarnation === key)) this.#memberSince.delete(key);
+    const steady = new Set<ControllerLabel>();
+    for (const m of members.values()) {
+      const since = this.#memberSince.get(m.incarnation) ?? now;
+      this.#memberSince.set(m.incarnation, since);
+      if (now - since >= ctx.operators.handBackS * 1000) steady.add(m.label);
+    }
+    ctx.store.shareWith(Math.max(1, members.size));
+    const plan = planShares({
+      me,
+      size: ctx.settings.size,
+      shares: new Map([...replica.shares].map(([n, s]) => [n, s.value])),
+      members,
+      steady,
+    });
+    for (const a of plan) {
+      const key = keys.share(a.share);
+      const to = a.kind === "claim" ? me : a.to;
+      const done = await this.#txn({
+        conditions: [{ key, rev: replica.rev(key) }],
+        ops: [{ kind: "put", key, value: holderValue(to) }],
+      });
+      if (done) ctx.log.info(a.kind, { share: a.share, to: to.label });
+    }
+  }
+
+  async #tendTeams(): Promise<boolean> {
+    const { replica, settings } = this.ctx;
+    const known = replica.teams?.value ?? new Map();
+    const names = settings.teams.map((t) => t.name);
+    if (replica.teams !== undefined && names.every((n) => known.has(n))) return false;
+    const next = assignTeams(known, names, settings.size);
+    return this.#txn({
+      conditions: [{ key: keys.teams, rev: replica.rev(keys.teams) }],
+      ops: [{ kind: "put", key: keys.teams, value: teamsValue(next) }],
+    });
+  }
+}
--- /dev/null
+++ b/src/coordination/notes.ts
@@ -0,0 +1,49 @@
+import type { JobId, MachineId, Mono } from "../protocol/ids.js";
+
+/**
+ * What a holder remembers beside the records. All of it may be lost with the process: it steers
+ * choices and never proves anything.
+ */
+export type StopReason = "preempted" | "moved" | "notice" | "unfit";
+
+export interface AttemptNote {
+  stop: { readonly reason: StopReason; readonly graceS: number } | null;
+  /** When a report first showed it running. */
+  runningSince: Mono | null;
+  readonly machine: MachineId;
+}
+
+export interface JobNote {
+  /** Failures in a row, with no task of the job completing between. */
+  failures: number;
+  notBefore: Mono;
+  readonly failedOn: Set<MachineId>;
+}
+
+export interface MachineNote {
+  /** Images it should hold, oldest use first. */
+  readonly images: Map<string, number>;
+  /** Jobs that failed here since something last completed here. */
+  readonly failedJobs: Set<JobId>;
+  failures: number;
+  /** Returned once its open attempts are closed, or at once if `force`. */
+  retire: { readonly reason: string; readonly force: boolean } | null;
+  moveToShare: number | null;
+  directBusy: boolean;
+  directAgain: boolean;
+  /** The last time a call of ours was sent there. */
+  calledAt: Mono;
+  failedCalls: number;
+}
+
+export const useImage = (note: MachineNote, image: string, gb: number, cacheGb: number): void => {
+  note.images.delete(image);
+  note.images.set(image, gb);
+  let total = 0;
+  for (const g of note.images.values()) total += g;
+  for (const [name, g] of note.images) {
+    if (total <= cacheGb || name === image) break;
+    note.images.delete(name);
+    total -= g;
+  }
+};
--- /dev/null
+++ b/src/coordination/session.ts
@@ -0,0 +1,216 @@
+import type { AttemptNo, Mono, TaskId, Token } from "../protocol/ids.js";
+import type { Order, Report, TaskReport } from "../protocol/workers.js";
+
+/**
+ * What a share's holder knows of one machine it holds.
+ *
+ * `unheard`: no report yet since we took it. `claiming`: heard, but its highest token is below
+ * ours, so an earlier holder's commands may still be carried out and nothing may be started or
+ * believed absent. `ready`: it has shown our token: no older command can be executed, and its
+ * newest report is the whole truth. `mute`: was heard, but is silent for too long.
+ */
+export type SessionState = "unheard" | "claiming" | "ready" | "mute";
+
+/** How an attempt's start command went out, for telling whether it can still be on its way. */
+export interface Sent {
+  /** The count of beats when a beat's answer carried it; settled by any later beat. */
+  readonly beatMark?: number;
+  readonly direct?: "pending" | "answered" | "lost";
+  /** The token it was sent under. */
+  readonly token: Token;
+}
+
+export interface Session {
+  readonly state: SessionState;
+  readonly token: Token;
+  readonly report: Report | undefined;
+  readonly tasks: ReadonlyMap<TaskId, TaskReport>;
+  readonly heardAt: Mono;
+  readonly beats: number;
+  readonly sent: ReadonlyMap<string, Sent>;
+}
+
+export type SessionEvent =
+  /** Our token for the machine is now this one: a takeover, a move or a bump. */
+  | { readonly kind: "held"; readonly token: Token; readonly now: Mono }
+  | {
+      readonly kind: "report";
+      readonly report: Report;
+      readonly via: "beat" | "direct";
+      readonly now: Mono;
+    }
+  | { readonly kind: "answered_beat"; readonly starts: readonly string[] }
+  | { readonly kind: "direct_sent"; readonly starts: readonly string[] }
+  | { readonly kind: "direct_answered"; readonly starts: readonly string[] }
+  | { readonly kind: "direct_unsent"; readonly starts: readonly string[] }
+  | { readonly kind: "direct_lost"; readonly starts: readonly string[] }
+  | { readonly kind: "silence" };
+
+export const attemptKey = (task: TaskId, attempt: AttemptNo): string => `${task}#${attempt}`;
+
+const NO_TASKS: ReadonlyMap<TaskId, TaskReport> = new Map();
+const NO_SENT: ReadonlyMap<string, Sent> = new Map();
+
+export const newSession = (held: Token, now: Mono): Session => ({
+  state: "unheard",
+  token: held,
+  report: undefined,
+  tasks: NO_TASKS,
+  heardAt: now,
+  beats: 0,
+  sent: NO_SENT,
+});
+
+/** Is `a` a newer message of the worker than `b`? */
+export const newer = (
+  a: { readonly session: number; readonly seq: number },
+  b: { readonly session: number; readonly seq: number } | undefined,
+): boolean =>
+  b === undefined || a.session > b.session || (a.session === b.session && a.seq > b.seq);
+
+const mark = (
+  s: Session,
+  starts: readonly string[],
+  with_: (old: Sent | undefined) => Sent | undefined,
+): Session => {
+  if (starts.length === 0) return s;
+  const sent = new Map(s.sent);
+  for (const k of starts) {
+    const next = with_(sent.get(k));
+    if (next === undefined) sent.delete(k);
+    else sent.set(k, next);
+  }
+  return { ...s, sent };
+};
+
+const hear = (s: Session, e: Extract<SessionEvent, { kind: "report" }>): Session => {
+  const { report } = e;
+  // Reports arrive late and out of order; only the newest (session, seq) counts.
+  if (!newer(report, s.report)) return s;
+  const shown = report.token >= s.token;
+  let sent = s.sent;
+  if (s.report !== undefined && report.session > s.report.session) {
+    // The worker killed and forgot all, and drops whatever was meant for its earlier session.
+    sent = NO_SENT;
+  } else if (shown && sent.size > 0) {
+    // Commands under a token below the one it has seen can't be executed any more.
+    const kept = [...sent].filter(([, x]) => x.token >= s.token);
+    if (kept.length < sent.size) sent = new Map(kept);
+  }
+  return {
+    ...s,
+    state: shown ? "ready" : "claiming",
+    report,
+    tasks: new Map(report.tasks.map((t) => [t.task, t])),
+    heardAt: e.now,
+    beats: e.via === "beat" ? s.beats + 1 : s.beats,
+    sent,
+  };
+};
+
+/** The one place where a session changes. */
+export const stepSession = (s: Session, e: SessionEvent): Session => {
+  switch (e.kind) {
+    case "held":
+      if (e.token === s.token) return s;
+      return {
+        ...s,
+        token: e.token,
+        state: s.report === undefined ? "unheard" : "claiming",
+        heardAt: e.now,
+      };
+    case "report":
+      return hear(s, e);
+    case "answered_beat":
+      return mark(s, e.starts, (old) => ({ ...old, beatMark: s.beats, token: s.token }));
+    case "direct_sent":
+      return mark(s, e.starts, (old) => ({ ...old, direct: "pending", token: s.token }));
+    case "direct_answered":
+      return mark(s, e.starts, (old) =>
+        old === undefined ? undefined : { ...old, direct: "answered" },
+      );
+    case "direct_unsent":
+      return mark(s, e.starts, (old) => {
+        if (old === undefined || old.beatMark === undefined) return undefined;
+        return { beatMark: old.beatMark, token: old.token };
+      });
+    case "direct_lost":
+      // It may be executed minutes later: only a higher token, seen, settles it.
+      return mark(s, e.starts, (old) =>
+        old === undefined ? undefined : { ...old, direct: "lost" },
+      );
+    case "silence":
+      return s.state === "mute" ? s : { ...s, state: "mute" };
+  }
+};
+
+/** No start command for this attempt can still be on its way to the machine. */
+export const settled = (s: Session, key: string): boolean => {
+  const x = s.sent.get(key);
+  if (x === undefined) return true;
+  if (x.direct === "pending" || x.direct === "lost") return false;
+  return x.beatMark === undefined || s.beats > x.beatMark;
+};
+
+/** A start command was lost under the token in force: the token must rise before absence counts. */
+export const needsBump = (s: Session): boolean => {
+  for (const x of s.sent.values()) if (x.direct === "lost" && x.token === s.token) return true;
+  return false;
+};
+
+/** What an open attempt's holder may conclude from a machine's newest report. */
+export type Finding =
+  | { readonly kind: "unknown" }
+  /** Not there, and no command for it can still be on its way. */
+  | { readonly kind: "absent" }
+  /** Not there, but a start command may still arrive. */
+  | { readonly kind: "unsettled" }
+  | { readonly kind: "present"; readonly report: TaskReport };
+
+export const findAttempt = (s: Session, task: TaskId, attempt: AttemptNo): Finding => {
+  if (s.state !== "ready") return { kind: "unknown" };
+  const t = s.tasks.get(task);
+  if (t !== undefined && t.attempt === attempt) return { kind: "present", report: t };
+  return { kind: settled(s, attemptKey(task, attempt)) ? "absent" : "unsettled" };
+};
+
+/** An attempt that the records hold open on this machine, and what is wanted of it. */
+export interface Wanted {
+  readonly task: TaskId;
+  readonly attempt: AttemptNo;
+  /** Null: it should run. Otherwise it should stop, given this time to save. */
+  readonly stopGraceS: number | null;
+}
+
+/**
+ * The commands that bring a machine to what the records say, forgets and stops before starts.
+ * Only valid in state `ready`. Recomputed for every answer, so a lost one repeats itself.
+ */
+export const ordersFor = (s: Session, wanted: ReadonlyMap<TaskId, Wanted>): readonly Order[] => {
+  if (s.state !== "ready") return [];
+  const first: Order[] = [];
+  const starts: Order[] = [];
+  for (const t of s.tasks.values()) {
+    const w = wanted.get(t.task);
+    const { task, attempt } = t;
+    if (w !== undefined && w.attempt === attempt) {
+      if (t.stage !== "ended" && w.stopGraceS !== null && t.stage !== "saving")
+        first.push({ op: "stop", task, attempt, graceS: w.stopGraceS });
+      else if (t.stage === "saving" && w.stopGraceS === 0)
+        first.push({ op: "stop", task, attempt, graceS: 0 });
+    } else if (t.stage !== "ended") {
+      first.push({ op: "stop", task, attempt, graceS: 0 });
+    } else if (settled(s, attemptKey(task, attempt))) {
+      // Once forgotten, a late copy of its start command would run it afresh.
+      first.push({ op: "forget", task, attempt });
+    }
+  }
+  for (const w of wanted.values()) {
+    if (w.stopGraceS !== null) continue;
+    if (s.tasks.get(w.task)?.attempt === w.attempt) continue;
+    // Still unanswered: a second copy would only be one more to lose track of.
+    if (s.sent.get(attemptKey(w.task, w.attempt))?.direct === "pending") continue;
+    starts.push({ op: "start", task: w.task, attempt: w.attempt });
+  }
+  return [...first, ...starts];
+};
--- /dev/null
+++ b/src/protocol/ids.ts
@@ -0,0 +1,49 @@
+/** Small types of their own for ids, versions and times, so that none is taken for another. */
+declare const tag: unique symbol;
+type Branded<T, Name extends string> = T & { readonly [tag]: Name };
+
+export type JobId = Branded<string, "JobId">;
+export type MachineId = Branded<string, "MachineId">;
+/** One task of a job, written `<job>/<index>` on the wire. */
+export type TaskId = Branded<string, "TaskId">;
+export type ControllerLabel = Branded<string, "ControllerLabel">;
+/** A start of one process under a label; two starts never share one. */
+export type Incarnation = Branded<string, "Incarnation">;
+export type TeamName = Branded<string, "TeamName">;
+export type ShareNo = Branded<number, "ShareNo">;
+/** A revision of the state service: it only rises, over all keys together. */
+export type Revision = Branded<number, "Revision">;
+/** Who may command a machine: a state-service revision, so a later holder's is always higher. */
+export type Token = Branded<number, "Token">;
+export type AttemptNo = Branded<number, "AttemptNo">;
+export type LeaseId = Branded<number, "LeaseId">;
+/** Milliseconds of this process's steady clock. */
+export type Mono = Branded<number, "Mono">;
+/** Milliseconds of the time of day, right within `skew_ms`. */
+export type Wall = Branded<number, "Wall">;
+
+export const jobId = (s: string): JobId => s as JobId;
+export const machineId = (s: string): MachineId => s as MachineId;
+export const controllerLabel = (s: string): ControllerLabel => s as ControllerLabel;
+export const incarnation = (s: string): Incarnation => s as Incarnation;
+export const teamName = (s: string): TeamName => s as TeamName;
+export const shareNo = (n: number): ShareNo => n as ShareNo;
+export const revision = (n: number): Revision => n as Revision;
+export const token = (n: number): Token => n as Token;
+export const attemptNo = (n: number): AttemptNo => n as AttemptNo;
+export const leaseId = (n: number): LeaseId => n as LeaseId;
+export const mono = (n: number): Mono => n as Mono;
+export const wall = (n: number): Wall => n as Wall;
+
+/** The version of a key that does not exist. */
+export const ABSENT = revision(0);
+
+export const taskId = (job: JobId, index: number): TaskId => `${job}/${index}` as TaskId;
+
+export const splitTask = (task: TaskId): { job: JobId; index: number } => {
+  const slash = task.lastIndexOf("/");
+  return { job: jobId(task.slice(0, slash)), index: Number(task.slice(slash + 1)) };
+};
+
+export const steadyNow = (): Mono => mono(performance.now());
+export const timeOfDay = (): Wall => wall(Date.now());
--- /dev/null
+++ b/src/protocol/jobs.ts
@@ -0,0 +1,134 @@
+import { amount, count, type Fields, isMap, list, text } from "./cbor.js";
+import { type JobId, jobId, type TeamName, teamName } from "./ids.js";
+
+export const RANKS = ["production", "high", "normal", "best_effort"] as const;
+export type Rank = (typeof RANKS)[number];
+/** 0 is the most urgent. */
+export const rankOrder = (rank: Rank): number => RANKS.indexOf(rank);
+
+export interface Resources {
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly ramGb: number;
+}
+
+/** What a user asks for, in the field's terms. */
+export interface JobSpec {
+  readonly id: JobId;
+  readonly jobClass: string;
+  readonly team: TeamName;
+  readonly rank: Rank;
+  readonly tasks: number;
+  readonly needs: Resources;
+  readonly image: string;
+  readonly imageGb: number;
+  readonly types: readonly string[] | null;
+  readonly zone: string | null;
+  readonly oneZone: boolean;
+  readonly apart: boolean;
+  readonly spotAllowed: boolean;
+  readonly expectS: number;
+  readonly checkpointS: number;
+  readonly saveS: number;
+  readonly deadlineS: number | null;
+}
+
+export type JobStage = "queued" | "running" | "done" | "cancelled";
+
+export interface JobView {
+  readonly id: JobId;
+  readonly stage: JobStage;
+  readonly done: number;
+  readonly running: number;
+}
+
+export const MAX_TASKS = 100_000;
+const JOB_ID = /^wk-[0-9]{1,18}$/;
+
+export const isJobId = (s: string): boolean => JOB_ID.test(s);
+
+export type Parsed<T> =
+  | { readonly ok: true; readonly value: T }
+  | { readonly ok: false; readonly reason: string };
+
+const bad = (reason: string): { ok: false; reason: string } => ({ ok: false, reason });
+const absent = (v: unknown): boolean => v === null || v === undefined;
+const flag = (v: unknown): boolean | undefined => (typeof v === "boolean" ? v : undefined);
+
+/** Reads POST /work. The first fault found is the reason given. */
+export const parseSubmission = (body: unknown): Parsed<JobSpec> => {
+  if (!isMap(body)) return bad("not a map");
+  const id = text(body.uid);
+  if (id === undefined || !isJobId(id)) return bad("uid is not of the form wk-000000");
+  const jobClass = text(body.weave);
+  if (!jobClass) return bad("weave is missing");
+  const team = text(body.crew);
+  if (!team) return bad("crew is missing");
+  if (body.pattern !== "sweep") return bad("pattern must be sweep");
+  const rank = RANKS.find((r) => r === body.rank);
+  if (rank === undefined) return bad("rank is unknown");
+  const tasks = count(body.threads);
+  if (tasks === undefined || tasks < 1 || tasks > MAX_TASKS)
+    return bad(`threads must be 1 to ${MAX_TASKS}`);
+  const cpus = amount(body.cpus);
+  const gpus = absent(body.gpus) ? 0 : amount(body.gpus);
+  const ramGb = amount(body.ramGb);
+  if (cpus === undefined) return bad("cpus is invalid");
+  if (gpus === undefined) return bad("gpus is invalid");
+  if (ramGb === undefined) return bad("ramGb is invalid");
+  const image = text(body.bolt);
+  if (image === undefined) return bad("bolt is missing");
+  const imageGb = amount(body.imageGb);
+  if (imageGb === undefined) return bad("imageGb is invalid");
+  let types: string[] | null = null;
+  if (!absent(body.frames)) {
+    const names = list(body.frames)?.map(text);
+    if (names === undefined || names.some((n) => n === undefined))
+      return bad("frames must be a list of names");
+    types = names as string[];
+  }
+  if (!absent(body.mill) && typeof body.mill !== "string") return bad("mill is invalid");
+  const oneZone = absent(body.oneZone) ? false : flag(body.oneZone);
+  const apart = absent(body.apart) ? false : flag(body.apart);
+  const spotAllowed = absent(body.remnant) ? false : flag(body.remnant);
+  if (oneZone === undefined) return bad("oneZone is invalid");
+  if (apart === undefined) return bad("apart is invalid");
+  if (spotAllowed === undefined) return bad("remnant is invalid");
+  const expectS = amount(body.expectS);
+  if (expectS === undefined) return bad("expectS is invalid");
+  const checkpointS = absent(body.knotS) ? 0 : amount(body.knotS);
+  const saveS = absent(body.spoolS) ? 0 : amount(body.spoolS);
+  if (checkpointS === undefined) return bad("knotS is invalid");
+  if (saveS === undefined) return bad("spoolS is invalid");
+  const deadlineS = absent(body.dueS) ? null : amount(body.dueS);
+  if (deadlineS === undefined) return bad("dueS is invalid");
+  return {
+    ok: true,
+    value: {
+      id: jobId(id),
+      jobClass,
+      team: teamName(team),
+      rank,
+      tasks,
+      needs: { cpus, gpus, ramGb },
+      image,
+      imageGb,
+      types,
+      zone: typeof body.mill === "string" ? body.mill : null,
+      oneZone,
+      apart,
+      spotAllowed,
+      expectS,
+      checkpointS,
+      saveS,
+      deadlineS,
+    },
+  };
+};
+
+export const jobViewBody = (v: JobView): Fields => ({
+  uid: v.id,
+  stage: v.stage,
+  done: v.done,
+  running: v.running,
+});
--- /dev/null
+++ b/src/protocol/peer.ts
@@ -0,0 +1,42 @@
+import protobuf from "protobufjs/light.js";
+import { type MachineId, machineId, type ShareNo, shareNo } from "./ids.js";
+
+/** What the leader asks of a share's holder. Hints only: all that must hold is in the state service. */
+export interface PeerMessage {
+  readonly from: string;
+  readonly moves: readonly { readonly machine: MachineId; readonly to: ShareNo }[];
+  readonly retire: readonly MachineId[];
+}
+
+const root = protobuf.Root.fromJSON({
+  nested: {
+    Move: {
+      fields: { machine: { type: "string", id: 1 }, to: { type: "uint32", id: 2 } },
+    },
+    PeerMessage: {
+      fields: {
+        from: { type: "string", id: 1 },
+        moves: { rule: "repeated", type: "Move", id: 2 },
+        retire: { rule: "repeated", type: "string", id: 3 },
+      },
+    },
+  },
+});
+const Message = root.lookupType("PeerMessage");
+
+export const encodePeer = (m: PeerMessage): Uint8Array =>
+  Message.encode(Message.fromObject(m)).finish();
+
+/** Throws on bytes that are no such message. */
+export const decodePeer = (bytes: Uint8Array): PeerMessage => {
+  const o = Message.toObject(Message.decode(bytes), { defaults: true, arrays: true }) as {
+    from: string;
+    moves: { machine: string; to: number }[];
+    retire: string[];
+  };
+  return {
+    from: o.from,
+    moves: o.moves.map((m) => ({ machine: machineId(m.machine), to: shareNo(m.to) })),
+    retire: o.retire.map(machineId),
+  };
+};
--- /dev/null
+++ b/src/scheduling/placement.ts
@@ -0,0 +1,78 @@
+import type { MachineId } from "../protocol/ids.js";
+import type { JobSpec, Resources } from "../protocol/jobs.js";
+import { fits, minus, plus } from "./resources.js";
+import { leastNeed, pheromone } from "./swarm.js";
+
+/** A machine as placement sees it: use counts every open attempt and every pending move in. */
+export interface Place {
+  readonly id: MachineId;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly capacity: Resources;
+  use: Resources;
+  readonly needs: Resources[];
+  readonly price: number;
+  readonly fetchGbPerS: number;
+  readonly images: ReadonlySet<string>;
+}
+
+/** Where a job's other open attempts stand, as `oneZone` and `apart` judge them. */
+export type ZoneCounts = ReadonlyMap<string, number>;
+
+/** At most half of the tasks, rounded up, in one zone. */
+export const apartLimit = (tasks: number): number => Math.ceil(tasks / 2);
+
+/** PROTOCOL's `wrong_place`: type, kind, zone, and the job's other tasks. */
+export const permitted = (
+  spec: JobSpec,
+  place: { readonly type: string; readonly zone: string; readonly spot: boolean },
+  zones: ZoneCounts,
+): boolean => {
+  if (place.spot && !spec.spotAllowed) return false;
+  if (spec.types !== null && !spec.types.includes(place.type)) return false;
+  if (spec.zone !== null && spec.zone !== place.zone) return false;
+  if (spec.oneZone) for (const [zone, n] of zones) if (n > 0 && zone !== place.zone) return false;
+  if (spec.apart && (zones.get(place.zone) ?? 0) >= apartLimit(spec.tasks)) return false;
+  return true;
+};
+
+/**
+ * The feasible machine with the lowest p after; ties go to a cached image, then to the lowest
+ * price. Null if none has room.
+ */
+export const choosePlace = (
+  spec: JobSpec,
+  places: readonly Place[],
+  zones: ZoneCounts,
+): Place | null => {
+  let best: Place | null = null;
+  let bestP = 0;
+  for (const place of places) {
+    if (!fits(spec.needs, minus(place.capacity, place.use))) continue;
+    if (!permitted(spec, place, zones)) continue;
+    const p = pheromone(
+      plus(place.use, spec.needs),
+      place.capacity,
+      leastNeed([...place.needs.map((needs) => ({ needs })), { needs: spec.needs }]),
+    );
+    if (best === null || p < bestP - 1e-9) {
+      best = place;
+      bestP = p;
+      continue;
+    }
+    if (p > bestP + 1e-9) continue;
+    const cached = place.images.has(spec.image);
+    const bestCached = best.images.has(spec.image);
+    if (cached !== bestCached ? cached : place.price < best.price) {
+      best = place;
+      bestP = Math.min(p, bestP);
+    }
+  }
+  return best;
+};
+
+export const occupy = (place: Place, needs: Resources): void => {
+  place.use = plus(place.use, needs);
+  place.needs.push(needs);
+};
--- /dev/null
+++ b/src/service/context.ts
@@ -0,0 +1,46 @@
+import type { Operators } from "../cli/operators.js";
+import type { Settings } from "../cli/settings.js";
+import type { ControllerLabel, Revision } from "../protocol/ids.js";
+import type { Op } from "../protocol/store.js";
+import type { Holder } from "../storage/records.js";
+import type { Replica } from "../storage/replica.js";
+import type { Store } from "../storage/store.js";
+import type { Logger } from "./log.js";
+
+/** What all parts of one controller share. */
+export interface Context {
+  readonly settings: Settings;
+  readonly operators: Operators;
+  readonly store: Store;
+  readonly replica: Replica;
+  readonly me: Holder;
+  readonly log: Logger;
+  readonly random: () => number;
+  /** False until the first scan is in. */
+  synced: boolean;
+  stopping: boolean;
+}
+
+/** Takes an applied transaction into the replica at once, ahead of the watch. */
+export const absorb = (replica: Replica, ops: readonly Op[], rev: Revision): void => {
+  for (const op of ops)
+    replica.apply(
+      op.kind === "put"
+        ? { kind: "put", key: op.key, value: op.value, rev }
+        : { kind: "delete", key: op.key, rev },
+    );
+};
+
+/** Reads keys again whose revision was not what we thought. */
+export const refresh = async (ctx: Context, names: Iterable<string>): Promise<void> => {
+  await Promise.all(
+    [...new Set(names)].map(async (key) => {
+      const r = await ctx.store.get(key);
+      if (r.kind === "found") ctx.replica.apply({ kind: "put", ...r.item });
+      else if (r.kind === "absent") ctx.replica.apply({ kind: "delete", key, rev: r.rev });
+    }),
+  );
+};
+
+export const addressOf = (settings: Settings, label: ControllerLabel): string | undefined =>
+  settings.seeds.find((s) => s.label === label)?.address;
--- /dev/null
+++ b/src/service/users.ts
@@ -0,0 +1,222 @@
+import type { Membership } from "../coordination/membership.js";
+import { ABSENT, type JobId, jobId, type Revision, steadyNow, timeOfDay } from "../protocol/ids.js";
+import {
+  isJobId,
+  type JobSpec,
+  type JobView,
+  jobViewBody,
+  parseSubmission,
+} from "../protocol/jobs.js";
+import { fits } from "../scheduling/resources.js";
+import {
+  doneCount,
+  type FinalJob,
+  keys,
+  type LiveJob,
+  liveValue,
+  newJob,
+  parseFinal,
+  parseLive,
+} from "../storage/records.js";
+import { type Answer, decodeBody } from "../transport/server.js";
+import { absorb, type Context } from "./context.js";
+
+/** Terminal states never change, so they may be answered from memory for ever. */
+const FINALS_KEPT = 20_000;
+/** A refused user comes back after this long. */
+const RETRY_S = 1;
+
+const busy = (status = 503): Answer => ({
+  status,
+  retryAfterS: RETRY_S,
+  body: { error: "try again" },
+});
+
+export const viewOfLive = (id: JobId, j: LiveJob): JobView => ({
+  id,
+  stage: j.cancelledAt !== null ? "cancelled" : j.open.length > 0 ? "running" : "queued",
+  done: doneCount(j),
+  running: j.open.length,
+});
+
+export const viewOfFinal = (id: JobId, f: FinalJob): JobView => ({
+  id,
+  stage: f.stage,
+  done: f.done,
+  running: 0,
+});
+
+type Found =
+  | { readonly kind: "live"; readonly job: LiveJob; readonly rev: Revision }
+  | { readonly kind: "final"; readonly job: FinalJob }
+  | { readonly kind: "none" }
+  | { readonly kind: "unavailable" };
+
+/** The users' interface. Everything it answers about a job has been read from the state service. */
+export class Users {
+  readonly #finals = new Map<JobId, FinalJob>();
+  #pending = 0;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly membership: Membership,
+    /** Called when a job of a share held here changed. */
+    private readonly wake: () => void,
+  ) {}
+
+  #remember(id: JobId, f: FinalJob): void {
+    if (this.#finals.size >= FINALS_KEPT) {
+      const oldest = this.#finals.keys().next().value;
+      if (oldest !== undefined) this.#finals.delete(oldest);
+    }
+    this.#finals.set(id, f);
+  }
+
+  /** Live first, then final: jobs move only that way, so only both absent means unknown. */
+  async #read(id: JobId): Promise<Found> {
+    const live = await this.ctx.store.get(keys.live(id));
+    if (live.kind === "unavailable") return live;
+    if (live.kind === "found") {
+      const job = parseLive(id, live.item.value);
+      return job === undefined
+        ? { kind: "unavailable" }
+        : { kind: "live", job, rev: live.item.rev };
+    }
+    const final = await this.ctx.store.get(keys.final(id));
+    if (final.kind === "unavailable") return final;
+    if (final.kind === "absent") return { kind: "none" };
+    const job = parseFinal(final.item.value);
+    if (job === undefined) return { kind: "unavailable" };
+    this.#remember(id, job);
+    return { kind: "final", job };
+  }
+
+  async #find(id: JobId): Promise<Found> {
+    const known = this.#finals.get(id);
+    if (known !== undefined) return { kind: "final", job: known };
+    if (!this.ctx.store.mayRead()) return { kind: "unavailable" };
+    return this.#read(id);
+  }
+
+  async submit(bytes: Buffer): Promise<Answer> {
+    const { ctx } = this;
+    const decoded = decodeBody(bytes);
+    if (!decoded.ok) return { status: 400, body: { error: "not CBOR" } };
+    const parsed = parseSubmission(decoded.value);
+    if (!parsed.ok) return { status: 400, body: { error: parsed.reason } };
+    const spec = parsed.value;
+    // Known jobs come first: settings or types may have changed since they were accepted.
+    if (this.#finals.has(spec.id) || ctx.replica.jobs.has(spec.id)) {
+      const found = await this.#find(spec.id);
+      if (found.kind !== "none") return this.#answer(spec.id, found);
+    }
+    const types = ctx.replica.types?.value;
+    if (!ctx.synced || types === undefined || types.length === 0) return busy();
+    const refusal = this.#neverRuns(spec);
+    if (refusal !== undefined) {
+      const found = await this.#find(spec.id);
+      if (found.kind !== "none") return this.#answer(spec.id, found);
+      return { status: 422, body: { error: refusal } };
+    }
+    if (this.#pending >= this.#mostPending() || !ctx.store.mayWrite(1)) return busy(429);
+    this.#pending++;
+    try {
+      return await this.#accept(spec);
+    } finally {
+      this.#pending--;
+    }
+  }
+
+  /** About what the state service lets us write in a second; more would only wait its turn. */
+  #mostPending(): number {
+    return Math.max(4, Math.ceil(this.ctx.settings.state.writeRps));
+  }
+
+  #neverRuns(spec: JobSpec): string | undefined {
+    const { settings, replica } = this.ctx;
+    const team = settings.teams.find((t) => t.name === spec.team);
+    if (team === undefined) return "unknown team";
+    const types = replica.types?.value ?? [];
+    const some = types.some(
+      (t) =>
+        (spec.types === null || spec.types.includes(t.name)) &&
+        (spec.zone === null || t.zones.includes(spec.zone)) &&
+        fits(spec.needs, t.capacity),
+    );
+    if (!some) return "a task fits no allowed machine type";
+    if (spec.needs.cpus > team.cpusMax || spec.needs.gpus > team.gpusMax)
+      return "a task needs more than the team's limit";
+    return undefined;
+  }
+
+  async #accept(spec: JobSpec): Promise<Answer> {
+    const { ctx } = this;
+    const key = keys.live(spec.id);
+    const value = liveValue(newJob(spec, timeOfDay()));
+    const ops = [{ kind: "put", key, value }] as const;
+    const r = await ctx.store.txn({
+      conditions: [
+        { key, rev: ABSENT },
+        { key: keys.final(spec.id), rev: ABSENT },
+      ],
+      ops,
+    });
+    if (r.kind === "applied") {
+      absorb(ctx.replica, ops, r.rev);
+      this.wake();
+      return { status: 201, body: { uid: spec.id, stage: "queued" } };
+    }
+    // A conflict means it is known already. No answer means it may be: the user asks again.
+    if (r.kind === "conflict") return this.#answer(spec.id, await this.#find(spec.id));
+    return busy();
+  }
+
+  #answer(id: JobId, found: Found): Answer {
+    switch (found.kind) {
+      case "live":
+        return { status: 200, body: jobViewBody(viewOfLive(id, found.job)) };
+      case "final":
+        return { status: 200, body: jobViewBody(viewOfFinal(id, found.job)) };
+      case "none":
+        return { status: 404, body: { error: "unknown job" } };
+      case "unavailable":
+        return busy();
+    }
+  }
+
+  async poll(id: string): Promise<Answer> {
+    if (!isJobId(id)) return { status: 404, body: { error: "unknown job" } };
+    return this.#answer(jobId(id), await this.#find(jobId(id)));
+  }
+
+  async cancel(id: string): Promise<Answer> {
+    if (!isJobId(id)) return { status: 404, body: { error: "unknown job" } };
+    const job = jobId(id);
+    const { ctx } = this;
+    const deadline = steadyNow() + 2000;
+    for (let tries = 0; tries < 5 && steadyNow() < deadline; tries++) {
+      const found = await this.#find(job);
+      if (found.kind !== "live") return this.#answer(job, found);
+      if (found.job.cancelledAt !== null) return this.#answer(job, found);
+      if (!ctx.store.mayWrite(1)) return busy(429);
+      const key = keys.live(job);
+      const value = liveValue({ ...found.job, cancelledAt: timeOfDay() });
+      const ops = [{ kind: "put", key, value }] as const;
+      const r = await ctx.store.txn({ conditions: [{ key, rev: found.rev }], ops });
+      if (r.kind === "applied") {
+        absorb(ctx.replica, ops, r.rev);
+        this.wake();
+        return { status: 200, body: { uid: job, stage: "cancelled" } };
+      }
+      // The holder wrote between our read and our write: read again.
+      if (r.kind !== "conflict") return busy();
+    }
+    return busy();
+  }
+
+  /** Ready once requests can be served; an outage of the state service is answered, not hidden. */
+  ready(): Answer {
+    const known = this.ctx.synced && this.ctx.replica.types !== undefined;
+    return known && this.membership.joined() ? { status: 200 } : { status: 503, retryAfterS: 1 };
+  }
+}
--- /dev/null
+++ b/src/storage/records.ts
@@ -0,0 +1,316 @@
+import { amount, count, isMap, list, text } from "../protocol/cbor.js";
+import type { MachineType } from "../protocol/cloud.js";
+import {
+  type AttemptNo,
+  attemptNo,
+  type ControllerLabel,
+  controllerLabel,
+  type Incarnation,
+  incarnation,
+  type JobId,
+  type MachineId,
+  machineId,
+  type ShareNo,
+  shareNo,
+  type TeamName,
+  teamName,
+  type Wall,
+  wall,
+} from "../protocol/ids.js";
+import { type JobSpec, RANKS } from "../protocol/jobs.js";
+import { parseRanges, type Ranges, rangesCount } from "./ranges.js";
+
+/**
+ * The layout of the state service. All keys under `now/` are scanned at a start and watched;
+ * those under `final/` are kept for good and only ever read one by one.
+ */
+export const NOW = "now/";
+const PREFIX = {
+  member: `${NOW}member/`,
+  share: `${NOW}share/`,
+  machine: `${NOW}machine/`,
+  hire: `${NOW}hire/`,
+  live: `${NOW}live/`,
+} as const;
+export const keys = {
+  leader: `${NOW}leader`,
+  types: `${NOW}types`,
+  teams: `${NOW}teams`,
+  member: (l: ControllerLabel): string => PREFIX.member + l,
+  share: (n: ShareNo): string => PREFIX.share + n,
+  machine: (id: MachineId): string => PREFIX.machine + id,
+  hire: (name: string): string => PREFIX.hire + name,
+  live: (id: JobId): string => PREFIX.live + id,
+  final: (id: JobId): string => `final/${id}`,
+} as const;
+
+export type KeyKind = keyof typeof PREFIX | "leader" | "types" | "teams" | "other";
+
+export const classify = (key: string): { readonly kind: KeyKind; readonly name: string } => {
+  for (const kind of Object.keys(PREFIX) as (keyof typeof PREFIX)[])
+    if (key.startsWith(PREFIX[kind])) return { kind, name: key.slice(PREFIX[kind].length) };
+  if (key === keys.leader) return { kind: "leader", name: "" };
+  if (key === keys.types) return { kind: "types", name: "" };
+  if (key === keys.teams) return { kind: "teams", name: "" };
+  return { kind: "other", name: key };
+};
+
+/** Who a record names: a label and the one process start under it. */
+export interface Holder {
+  readonly label: ControllerLabel;
+  readonly incarnation: Incarnation;
+}
+
+export const sameHolder = (a: Holder | undefined, b: Holder): boolean =>
+  a !== undefined && a.label === b.label && a.incarnation === b.incarnation;
+
+export const holderValue = (h: Holder): unknown => ({ l: h.label, i: h.incarnation });
+export const parseHolder = (v: unknown): Holder | undefined => {
+  if (!isMap(v)) return undefined;
+  const l = text(v.l);
+  const i = text(v.i);
+  return l === undefined || i === undefined
+    ? undefined
+    : { label: controllerLabel(l), incarnation: incarnation(i) };
+};
+
+/**
+ * `up`: rented, perhaps still booting. `retiring`: to be returned by the leader, nothing new
+ * starts there. `gone`: proved gone by the cloud's word; the holder closes its attempts and
+ * drops the record.
+ */
+export type MachineStage = "up" | "retiring" | "gone";
+
+export interface MachineRecord {
+  readonly share: ShareNo;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  /** Empty until its worker has reported. */
+  readonly endpoint: string;
+  readonly stage: MachineStage;
+  readonly rentedAt: Wall;
+}
+
+const STAGES: readonly MachineStage[] = ["up", "retiring", "gone"];
+
+export const machineValue = (m: MachineRecord): unknown => ({
+  s: m.share,
+  t: m.type,
+  z: m.zone,
+  p: m.spot,
+  e: m.endpoint,
+  g: m.stage,
+  a: m.rentedAt,
+});
+
+export const parseMachine = (v: unknown): MachineRecord | undefined => {
+  if (!isMap(v)) return undefined;
+  const s = count(v.s);
+  const stage = STAGES.find((g) => g === v.g);
+  if (s === undefined || stage === undefined) return undefined;
+  return {
+    share: shareNo(s),
+    type: text(v.t) ?? "",
+    zone: text(v.z) ?? "",
+    spot: v.p === true,
+    endpoint: text(v.e) ?? "",
+    stage,
+    rentedAt: wall(amount(v.a) ?? 0),
+  };
+};
+
+/** The intent to rent, written before the call. */
+export interface HireRecord {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly count: number;
+  readonly share: ShareNo;
+  readonly at: Wall;
+}
+
+export const hireValue = (h: HireRecord): unknown => ({
+  t: h.type,
+  z: h.zone,
+  p: h.spot,
+  n: h.count,
+  s: h.share,
+  a: h.at,
+});
+
+export const parseHire = (v: unknown): HireRecord | undefined => {
+  if (!isMap(v)) return undefined;
+  const t = text(v.t);
+  const z = text(v.z);
+  const n = count(v.n);
+  const s = count(v.s);
+  if (t === undefined || z === undefined || n === undefined || s === undefined) return undefined;
+  return {
+    type: t,
+    zone: z,
+    spot: v.p === true,
+    count: n,
+    share: shareNo(s),
+    at: wall(amount(v.a) ?? 0),
+  };
+};
+
+export interface OpenAttempt {
+  readonly index: number;
+  readonly attempt: AttemptNo;
+  readonly machine: MachineId;
+}
+
+/**
+ * An accepted job that is not over. Attempt numbers come from one counter for the whole job, so
+ * none is used twice for a task and none need be kept for tasks that are not open.
+ */
+export interface LiveJob {
+  readonly spec: JobSpec;
+  readonly acceptedAt: Wall;
+  /** When its user asked to cancel it, or null. */
+  readonly cancelledAt: Wall | null;
+  readonly done: Ranges;
+  readonly open: readonly OpenAttempt[];
+  readonly nextAttempt: number;
+}
+
+export const newJob = (spec: JobSpec, at: Wall): LiveJob => ({
+  spec,
+  acceptedAt: at,
+  cancelledAt: null,
+  done: [],
+  open: [],
+  nextAttempt: 1,
+});
+
+export const doneCount = (j: LiveJob): number => rangesCount(j.done);
+export const waitingCount = (j: LiveJob): number =>
+  j.cancelledAt !== null ? 0 : j.spec.tasks - doneCount(j) - j.open.length;
+
+export const liveValue = (j: LiveJob): unknown => {
+  const s = j.spec;
+  return {
+    c: s.jobClass,
+    t: s.team,
+    r: s.rank,
+    n: s.tasks,
+    u: [s.needs.cpus, s.needs.gpus, s.needs.ramGb],
+    i: s.image,
+    ig: s.imageGb,
+    ty: s.types,
+    z: s.zone,
+    f: (s.oneZone ? 1 : 0) | (s.apart ? 2 : 0) | (s.spotAllowed ? 4 : 0),
+    e: s.expectS,
+    k: s.checkpointS,
+    sv: s.saveS,
+    d: s.deadlineS,
+    a: j.acceptedAt,
+    ca: j.cancelledAt,
+    dn: j.done,
+    o: j.open.map((o) => `${o.index}:${o.attempt}:${o.machine}`),
+    x: j.nextAttempt,
+  };
+};
+
+export const parseLive = (id: JobId, v: unknown): LiveJob | undefined => {
+  if (!isMap(v)) return undefined;
+  const needs = list(v.u)?.map(amount);
+  const tasks = count(v.n);
+  const rank = RANKS.find((r) => r === v.r);
+  const next = count(v.x);
+  const flags = count(v.f);
+  const open = list(v.o);
+  if (needs === undefined || tasks === undefined || rank === undefined) return undefined;
+  if (next === undefined || flags === undefined || open === undefined) return undefined;
+  return {
+    spec: {
+      id,
+      jobClass: text(v.c) ?? "",
+      team: teamName(text(v.t) ?? ""),
+      rank,
+      tasks,
+      needs: { cpus: needs[0] ?? 0, gpus: needs[1] ?? 0, ramGb: needs[2] ?? 0 },
+      image: text(v.i) ?? "",
+      imageGb: amount(v.ig) ?? 0,
+      types: list(v.ty)?.filter((t): t is string => typeof t === "string") ?? null,
+      zone: text(v.z) ?? null,
+      oneZone: (flags & 1) !== 0,
+      apart: (flags & 2) !== 0,
+      spotAllowed: (flags & 4) !== 0,
+      expectS: amount(v.e) ?? 0,
+      checkpointS: amount(v.k) ?? 0,
+      saveS: amount(v.sv) ?? 0,
+      deadlineS: amount(v.d) ?? null,
+    },
+    acceptedAt: wall(amount(v.a) ?? 0),
+    cancelledAt: v.ca === undefined || v.ca === null ? null : wall(amount(v.ca) ?? 0),
+    done: parseRanges(v.dn),
+    open: open.map((o) => {
+      const [index, attempt, machine] = String(o).split(":");
+      return {
+        index: Number(index),
+        attempt: attemptNo(Number(attempt)),
+        machine: machineId(machine ?? ""),
+      };
+    }),
+    nextAttempt: next,
+  };
+};
+
+/** What remains of a job that is over. */
+export interface FinalJob {
+  readonly stage: "done" | "cancelled";
+  readonly done: number;
+}
+
+export const finalValue = (f: FinalJob): unknown => ({ g: f.stage === "done" ? 1 : 2, n: f.done });
+export const parseFinal = (v: unknown): FinalJob | undefined => {
+  if (!isMap(v)) return undefined;
+  if (v.g !== 1 && v.g !== 2) return undefined;
+  return { stage: v.g === 1 ? "done" : "cancelled", done: count(v.n) ?? 0 };
+};
+
+export const typesValue = (types: readonly MachineType[]): unknown =>
+  types.map((t) => ({
+    l: t.name,
+    u: [t.capacity.cpus, t.capacity.gpus, t.capacity.ramGb],
+    c: t.cacheGb,
+    f: t.fetchGbPerS,
+    p: t.price,
+    s: t.spotPrice,
+    b: t.bootS,
+    z: t.zones,
+  }));
+
+export const parseTypesRecord = (v: unknown): readonly MachineType[] =>
+  (list(v) ?? []).flatMap((row) => {
+    if (!isMap(row)) return [];
+    const u = list(row.u)?.map(amount) ?? [];
+    return [
+      {
+        name: text(row.l) ?? "",
+        capacity: { cpus: u[0] ?? 0, gpus: u[1] ?? 0, ramGb: u[2] ?? 0 },
+        cacheGb: amount(row.c) ?? 0,
+        fetchGbPerS: amount(row.f) ?? 0,
+        price: amount(row.p) ?? 0,
+        spotPrice: amount(row.s) ?? 0,
+        bootS: amount(row.b) ?? 0,
+        zones: (list(row.z) ?? []).filter((z): z is string => typeof z === "string"),
+      },
+    ];
+  });
+
+export const teamsValue = (teams: ReadonlyMap<TeamName, ShareNo>): unknown =>
+  Object.fromEntries(teams);
+
+export const parseTeams = (v: unknown): ReadonlyMap<TeamName, ShareNo> => {
+  const out = new Map<TeamName, ShareNo>();
+  if (!isMap(v)) return out;
+  for (const [name, n] of Object.entries(v)) {
+    const share = count(n);
+    if (share !== undefined) out.set(teamName(name), shareNo(share));
+  }
+  return out;
+};
--- /dev/null
+++ b/src/storage/store.ts
@@ -0,0 +1,181 @@
+import { type LeaseId, type Revision, steadyNow } from "../protocol/ids.js";
+import {
+  type Change,
+  grantBody,
+  type Item,
+  parseChanges,
+  parseFailed,
+  parseGrant,
+  parseItem,
+  parsePage,
+  parseRevision,
+  storePaths,
+  type Txn,
+  txnBody,
+} from "../protocol/store.js";
+import { Caller, type Reply } from "../transport/client.js";
+import { Budget } from "./budget.js";
+
+export type TxnResult =
+  | { readonly kind: "applied"; readonly rev: Revision }
+  | { readonly kind: "conflict"; readonly failed: readonly string[] }
+  /** Our lease has lapsed, or the request is malformed: it never will be applied. */
+  | { readonly kind: "refused" }
+  /** Not executed. */
+  | { readonly kind: "unavailable" }
+  /** May have been applied, or may yet be. */
+  | { readonly kind: "unknown" };
+
+export type ReadResult =
+  | { readonly kind: "found"; readonly item: Item }
+  | { readonly kind: "absent"; readonly rev: Revision }
+  | { readonly kind: "unavailable" };
+
+export type WatchResult =
+  | { readonly kind: "changes"; readonly rev: Revision; readonly changes: readonly Change[] }
+  | { readonly kind: "too_old" }
+  | { readonly kind: "unavailable" };
+
+const CALL_MS = 1500;
+const SCAN_LIMIT = 1000;
+
+export const sleep = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
+
+/** The state service's client: its calls, its limits, and what an answer does and doesn't prove. */
+export class Store {
+  readonly #caller: Caller;
+  readonly #requests: Budget;
+  readonly #writes: Budget;
+  /** Steady time of the last answer other than 503, for telling an outage. */
+  answeredAt = steadyNow();
+
+  constructor(
+    private readonly address: string,
+    private readonly limits: { readonly rps: number; readonly writeRps: number },
+    maxSockets: number,
+    members: number,
+  ) {
+    this.#caller = new Caller(maxSockets, maxSockets);
+    this.#requests = new Budget(limits.rps / members, 1, steadyNow());
+    this.#writes = new Budget(limits.writeRps / members, 1, steadyNow());
+  }
+
+  /** The limits hold for all controllers together: each live one takes an equal part. */
+  shareWith(members: number): void {
+    this.#requests.setRate(this.limits.rps / members);
+    this.#writes.setRate(this.limits.writeRps / members);
+  }
+
+  mayRead(reserve = 0): boolean {
+    return this.#requests.take(1, steadyNow(), reserve);
+  }
+
+  mayWrite(ops: number, reserve = 0): boolean {
+    return this.#writes.take(ops, steadyNow(), reserve);
+  }
+
+  async #call(method: string, path: string, body: unknown, ms = CALL_MS): Promise<Reply> {
+    const r = await this.#caller.call(this.address, method, path, body, ms);
+    if (r.kind === "answer" && r.status === 429) {
+      this.#requests.drain(steadyNow());
+      this.#writes.drain(steadyNow());
+    }
+    if (r.kind === "answer" && r.status !== 503) this.answeredAt = steadyNow();
+    return r;
+  }
+
+  async txn(t: Txn): Promise<TxnResult> {
+    const r = await this.#call("POST", storePaths.txn, txnBody(t));
+    if (r.kind === "unsent") return { kind: "unavailable" };
+    if (r.kind === "lost") return { kind: "unknown" };
+    if (r.status === 200) {
+      const rev = parseRevision(r.body);
+      return rev === undefined ? { kind: "unknown" } : { kind: "applied", rev };
+    }
+    if (r.status === 409) return { kind: "conflict", failed: parseFailed(r.body) };
+    if (r.status === 400) return { kind: "refused" };
+    if (r.status === 429 || r.status === 503) return { kind: "unavailable" };
+    return { kind: "unknown" };
+  }
+
+  /**
+   * Repeats one transaction until its fate is known. The same conditions make that safe: applied
+   * at most once, and a definite 409 means no earlier copy can be applied any more, for the
+   * revisions they named have passed. (A key once created under an `absent` condition leaves a
+   * final record or is never created under the same name again.)
+   */
+  async settle(t: Txn, giveUp: () => boolean): Promise<TxnResult> {
+    for (let wait = 50; ; wait = Math.min(500, wait * 2)) {
+      const r = await this.txn(t);
+      if (r.kind !== "unknown" && r.kind !== "unavailable") return r;
+      if (giveUp()) return r;
+      await sleep(wait);
+    }
+  }
+
+  async get(key: string): Promise<ReadResult> {
+    const r = await this.#call("GET", storePaths.key(key), undefined);
+    if (r.kind !== "answer") return { kind: "unavailable" };
+    if (r.status === 200) {
+      const item = parseItem(r.body);
+      return item === undefined ? { kind: "unavailable" } : { kind: "found", item };
+    }
+    const rev = r.status === 404 ? parseRevision(r.body) : undefined;
+    return rev === undefined ? { kind: "unavailable" } : { kind: "absent", rev };
+  }
+
+  /** All items under a prefix, and a revision from which watching misses nothing. */
+  async scan(
+    prefix: string,
+  ): Promise<{ readonly items: readonly Item[]; readonly rev: Revision } | undefined> {
+    const items: Item[] = [];
+    let first: Revision | undefined;
+    let after: string | undefined;
+    for (;;) {
+      const r = await this.#call(
+        "GET",
+        storePaths.scan(prefix, after, SCAN_LIMIT),
+        undefined,
+        4 * CALL_MS,
+      );
+      if (r.kind !== "answer" || r.status !== 200) return undefined;
+      const page = parsePage(r.body);
+      if (page === undefined) return undefined;
+      // Later pages are newer; changes since the first page come again through the watch.
+      first ??= page.rev;
+      items.push(...page.items);
+      if (!page.more || page.items.length === 0) return { items, rev: first };
+      after = page.items[page.items.length - 1]?.key;
+    }
+  }
+
+  async watch(prefix: string, after: Revision, waitMs: number): Promise<WatchResult> {
+    const r = await this.#call(
+      "GET",
+      storePaths.watch(prefix, after, waitMs),
+      undefined,
+      waitMs + 5000,
+    );
+    if (r.kind !== "answer") return { kind: "unavailable" };
+    if (r.status === 410) return { kind: "too_old" };
+    if (r.status !== 200) return { kind: "unavailable" };
+    const parsed = parseChanges(r.body);
+    return parsed === undefined ? { kind: "too_old" } : { kind: "changes", ...parsed };
+  }
+
+  async grant(ttlMs: number): Promise<LeaseId | undefined> {
+    const r = await this.#call("POST", storePaths.grants, grantBody(ttlMs));
+    return r.kind === "answer" && r.status === 200 ? parseGrant(r.body) : undefined;
+  }
+
+  async renew(lease: LeaseId): Promise<"renewed" | "lapsed" | "unavailable"> {
+    const r = await this.#call("POST", storePaths.renew(lease), {});
+    if (r.kind !== "answer") return "unavailable";
+    if (r.status === 404) return "lapsed";
+    return r.status === 200 ? "renewed" : "unavailable";
+  }
+
+  close(): void {
+    this.#caller.close();
+  }
+}
