--- a/src/protocol/cbor.ts
+++ b/src/protocol/cbor.ts
@@ -9,11 +9,11 @@
 
 export type Fields = Readonly<Record<string, unknown>>;
 
-export const isMap = (v: unknown): v is Fields =>
-  typeof v === "object" &&
-  v !== null &&
-  !Array.isArray(v) &&
-  Object.getPrototypeOf(v) === Object.prototype;
+export const isMap = (v: unknown): v is Fields => {
+  if (typeof v !== "object" || v === null) return false;
+  const proto: unknown = Object.getPrototypeOf(v);
+  return proto === Object.prototype || proto === null;
+};
 
 /** Integers past 32 bits would otherwise be written as floating point. */
 export const wide = (n: number): number | bigint => (n > 0xffff_ffff ? BigInt(n) : n);
