--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -14,6 +14,8 @@
   readonly fleetPeriodMs: number;
   readonly idleReturnS: number;
   readonly headroom: number;
+  readonly patience: number;
+  readonly peakS: number;
   readonly refusedPauseS: number;
   readonly bootPatience: number;
   readonly statsPeriodS: number;
@@ -48,7 +50,9 @@
   knob("swarm", "max_loss_s", "swarmMaxLossS", 0, 86_400, 4),
   knob("fleet", "period_ms", "fleetPeriodMs", 50, 60_000, 1000),
   knob("fleet", "idle_return_s", "idleReturnS", 0, 86_400, 25),
-  knob("fleet", "headroom", "headroom", 0, 10, 0.25),
+  knob("fleet", "headroom", "headroom", 0, 10, 0.1),
+  knob("fleet", "patience", "patience", 0, 1, 0.3),
+  knob("fleet", "peak_s", "peakS", 0.1, 86_400, 60),
   knob("fleet", "refused_pause_s", "refusedPauseS", 0, 86_400, 20),
   knob("fleet", "boot_patience", "bootPatience", 1, 100, 3),
   knob("logs", "stats_period_s", "statsPeriodS", 1, 86_400, 30),
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -15,7 +15,7 @@
   timeOfDay,
   token,
 } from "../protocol/ids.js";
-import { type JobSpec, type Resources, rankOrder } from "../protocol/jobs.js";
+import type { JobSpec, Resources } from "../protocol/jobs.js";
 import type { Condition, Op } from "../protocol/store.js";
 import {
   beatAnswer,
@@ -26,6 +26,7 @@
   redirectBody,
   type TaskReport,
 } from "../protocol/workers.js";
+import { owedJobs, queueOrder } from "../scheduling/order.js";
 import {
   choosePlace,
   occupy,
@@ -101,6 +102,7 @@
   readonly #attempts = new Map<string, AttemptNote>();
   readonly #jobs = new Map<JobId, JobNote>();
   readonly #machines = new Map<MachineId, MachineNote>();
+  readonly #runRatio = new Map<string, number>();
   #committing = false;
   #swarmAt: Mono = steadyNow();
   /** Moves whose task is to start again there: they count as use of the destination (eq. 18). */
@@ -677,6 +679,7 @@
     const mn = this.#note(o.machine);
     if (t.cause === "done") {
       this.counters.done++;
+      this.#learnRun(job.spec, this.#attempts.get(attemptKey(t.task, o.attempt)), now);
       jn.failures = 0;
       mn.failures = 0;
       mn.failedJobs.clear();
@@ -707,6 +710,18 @@
     }
   }
 
+  #learnRun(spec: JobSpec, note: AttemptNote | undefined, now: Mono): void {
+    if (note === undefined || note.runningSince === null || spec.expectS <= 0) return;
+    const ratio = Math.min(10, Math.max(0.1, (now - note.runningSince) / 1000 / spec.expectS));
+    const old = this.#runRatio.get(spec.jobClass);
+    this.#runRatio.set(spec.jobClass, old === undefined ? ratio : old + (ratio - old) * 0.05);
+  }
+
+  /** A task's run time: its owner's estimate, put right by what its class was seen to take. */
+  runS(spec: JobSpec): number {
+    return spec.expectS * (this.#runRatio.get(spec.jobClass) ?? 1);
+  }
+
   /** Records of machines: proved gone, endpoints, bumps, moves between shares, retirement. */
   #tendMachines(
     share: ShareNo,
@@ -872,26 +887,29 @@
     now: Mono,
   ): void {
     const { replica, settings } = this.ctx;
-    const waiting: { id: JobId; job: LiveJob; left: number }[] = [];
-    for (const id of jobs) {
+    const all = jobs.flatMap((id) => {
       const job = written.get(id)?.job ?? replica.jobs.get(id)?.value;
-      if (job === undefined || job.cancelledAt !== null) continue;
-      const left = job.spec.tasks - rangesCount(job.done) - job.open.length;
-      if (left > 0 && (this.#jobs.get(id)?.notBefore ?? 0) <= now) waiting.push({ id, job, left });
-    }
+      return job === undefined ? [] : [[id, job] as const];
+    });
+    const owed = owedJobs(all, this.ctx.teams);
+    const at = timeOfDay();
+    const waiting = all
+      .filter(([id, job]) => waitingCount(job) > 0 && (this.#jobs.get(id)?.notBefore ?? 0) <= now)
+      .map(([id, job]) => ({
+        id,
+        job,
+        ageS: (at - job.acceptedAt) / 1000,
+        runS: this.runS(job.spec),
+        owed: owed.has(id),
+      }));
     if (waiting.length === 0) return;
     const places = this.#places(share, written, batch);
     if (places.size === 0) return;
     const use = this.#teamUse(written);
-    waiting.sort(
-      (a, b) =>
-        rankOrder(a.job.spec.rank) - rankOrder(b.job.spec.rank) ||
-        a.job.acceptedAt - b.job.acceptedAt,
-    );
     const valueLimit = settings.state.valueKb * 1024 - VALUE_MARGIN;
-    for (const w of waiting) {
+    for (const w of queueOrder(waiting, settings.objectives)) {
       const { spec } = w.job;
-      const team = settings.teams.find((t) => t.name === spec.team);
+      const team = this.ctx.teams.get(spec.team);
       if (team === undefined) continue;
       const rev = written.get(w.id)?.rev ?? replica.jobs.get(w.id)?.rev;
       if (rev === undefined) continue;
@@ -900,7 +918,7 @@
       const zones = this.#zoneCounts(w.job);
       const open = [...w.job.open];
       const taken = new Set(open.map((o) => o.index));
-      const indexes = rangesMissing(w.job.done, spec.tasks, taken, w.left);
+      const indexes = rangesMissing(w.job.done, spec.tasks, taken, waitingCount(w.job));
       let next = w.job.nextAttempt;
       let used = use.get(spec.team) ?? NOTHING;
       const starts: OpenAttempt[] = [];
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -19,18 +19,18 @@
   steadyNow,
   timeOfDay,
 } from "../protocol/ids.js";
-import { rankOrder } from "../protocol/jobs.js";
 import { encodePeer } from "../protocol/peer.js";
 import type { Op, Txn } from "../protocol/store.js";
 import type { Report } from "../protocol/workers.js";
+import { demandOf } from "../scheduling/demand.js";
 import {
   type DemandGroup,
-  decayingPeak,
   type FleetMachine,
   offerKey,
   planFleet,
   type Rent,
 } from "../scheduling/fleet.js";
+import { owedJobs } from "../scheduling/order.js";
 import { NOTHING, plus } from "../scheduling/resources.js";
 import { absorb, addressOf, type Context, refresh } from "../service/context.js";
 import { Budget } from "../storage/budget.js";
@@ -41,7 +41,6 @@
   type MachineRecord,
   machineValue,
   typesValue,
-  waitingCount,
 } from "../storage/records.js";
 import type { Caller } from "../transport/client.js";
 import type { Holder } from "./holder.js";
@@ -57,7 +56,7 @@
   readonly #budget: Budget;
   readonly #refusedUntil = new Map<string, Mono>();
   readonly #idleSince = new Map<MachineId, Mono>();
-  readonly #peaks = new Map<string, number>();
+  #peaks: ReadonlyMap<string, number> = new Map();
   readonly #returned = new Set<MachineId>();
   #typesAt: Mono = mono(Number.NEGATIVE_INFINITY);
   #listAt: Mono = mono(Number.NEGATIVE_INFINITY);
@@ -307,52 +306,25 @@
     return this.ctx.replica.types?.value.find((t) => t.name === name);
   }
 
-  #demand(dtS: number): DemandGroup[] {
+  #demand(dtS: number): readonly DemandGroup[] {
     const { replica, settings, operators } = this.ctx;
-    const groups = new Map<
-      string,
-      { g: DemandGroup; level: number; waiting: number; rank: number }
-    >();
-    const teamRoom = new Map<string, number>();
-    for (const { value: j } of replica.jobs.values()) {
-      const share = replica.teams?.value.get(j.spec.team);
-      if (share === undefined) continue;
-      const { needs, types, zone, spotAllowed, jobClass, rank } = j.spec;
-      const shape = [
-        share,
-        jobClass,
-        needs.cpus,
-        needs.gpus,
-        needs.ramGb,
-        types?.join(),
-        zone,
-        spotAllowed,
-      ];
-      const key = shape.join("|");
-      let e = groups.get(key);
-      if (e === undefined) {
-        const g = { share, needs, types, zone, spotAllowed, wanted: 0, waiting: 0 };
-        e = { g, level: 0, waiting: 0, rank: rankOrder(rank) };
-        groups.set(key, e);
-      }
-      const team = settings.teams.find((t) => t.name === j.spec.team);
-      const room = teamRoom.get(j.spec.team) ?? team?.cpusMax ?? 0;
-      const most = needs.cpus > 0 ? Math.floor((room + 1e-9) / needs.cpus) : j.spec.tasks;
-      const waiting = Math.max(0, Math.min(waitingCount(j), most - j.open.length));
-      teamRoom.set(j.spec.team, room - (waiting + j.open.length) * needs.cpus);
-      e.level += waiting + j.open.length;
-      e.waiting += waiting;
-    }
-    for (const key of [...this.#peaks.keys()]) if (!groups.has(key)) this.#peaks.delete(key);
-    const out: { g: DemandGroup; rank: number }[] = [];
-    for (const [key, e] of groups) {
-      const peak = decayingPeak(this.#peaks.get(key) ?? 0, e.level, dtS, 60);
-      this.#peaks.set(key, peak);
-      // Running tasks already stand on machines: only the rest looks for room.
-      const wanted = Math.ceil(peak * (1 + operators.headroom)) - (e.level - e.waiting);
-      out.push({ g: { ...e.g, wanted, waiting: e.waiting }, rank: e.rank });
-    }
-    return out.sort((a, b) => a.rank - b.rank).map((x) => x.g);
+    const jobs = [...replica.jobs].map(([id, j]) => [id, j.value] as const);
+    const d = demandOf({
+      jobs,
+      shareOf: replica.teams?.value ?? new Map(),
+      teams: this.ctx.teams,
+      owed: owedJobs(jobs, this.ctx.teams),
+      objectives: settings.objectives,
+      runS: (j) => this.holder.runS(j.spec),
+      bootS: Math.min(...(replica.types?.value ?? []).map((t) => t.bootS)),
+      headroom: operators.headroom,
+      patience: operators.patience,
+      peakS: operators.peakS,
+      dtS,
+      peaks: this.#peaks,
+    });
+    this.#peaks = d.peaks;
+    return d.groups;
   }
 
   async #plan(): Promise<void> {
--- a/src/scheduling/fleet.ts
+++ b/src/scheduling/fleet.ts
@@ -127,8 +127,10 @@
     free: minus(m.type.capacity, m.use),
     taken: 0,
   }));
-  // Fullest first, so that the emptiest are left to be moved or returned.
-  rooms.sort((a, b) => b.m.open - a.m.open || a.m.idleS - b.m.idleS);
+  // Cheap and full ones first, so that the dear and the empty are left to be moved or returned.
+  const dear = (m: FleetMachine): number =>
+    (m.spot ? m.type.spotPrice : m.type.price) / Math.max(1, m.type.capacity.cpus);
+  rooms.sort((a, b) => dear(a.m) - dear(b.m) || b.m.open - a.m.open || a.m.idleS - b.m.idleS);
   const moves: { machine: MachineId; to: ShareNo }[] = [];
   const moved = new Set<MachineId>();
   const unmet: { g: DemandGroup; left: number }[] = [];
--- /dev/null
+++ b/src/scheduling/objectives.ts
@@ -0,0 +1,49 @@
+import type { Objective } from "../cli/settings.js";
+import type { JobSpec } from "../protocol/jobs.js";
+
+/** Points in a job's life, in seconds after its submission, at which an objective is decided. */
+export interface Target {
+  readonly kind: "start" | "finish";
+  readonly withinS: number;
+}
+
+/** What the settings (and a job's own deadline) ask of one job, soonest first. */
+export const targetsOf = (
+  spec: Pick<JobSpec, "jobClass" | "deadlineS">,
+  objectives: readonly Objective[],
+  owed: boolean,
+): readonly Target[] => {
+  const out: Target[] = [];
+  for (const o of objectives) {
+    const mine = o.jobClass === null || o.jobClass === spec.jobClass;
+    if (!mine || o.withinS === null) continue;
+    if (o.kind === "wait" || (o.kind === "guarantee" && owed))
+      out.push({ kind: "start", withinS: o.withinS });
+    if (o.kind === "finished") out.push({ kind: "finish", withinS: o.withinS });
+  }
+  if (spec.deadlineS !== null) out.push({ kind: "finish", withinS: spec.deadlineS });
+  return out.sort((a, b) => a.withinS - b.withinS);
+};
+
+/**
+ * Seconds until the job's next task must start for the next objective that can still be met.
+ * One that has passed no longer pulls: the work it pulled for is late whatever runs first.
+ */
+export const slackS = (targets: readonly Target[], ageS: number, runS: number): number => {
+  let slack = Number.POSITIVE_INFINITY;
+  for (const t of targets) {
+    const left = t.withinS - ageS - (t.kind === "finish" ? runS : 0);
+    if (left >= 0 && left < slack) slack = left;
+  }
+  return slack;
+};
+
+/** How long a class's tasks may be in the system, on the whole, for its objectives to be met. */
+export const patienceS = (targets: readonly Target[], runS: number, part: number): number => {
+  let most = Number.POSITIVE_INFINITY;
+  for (const t of targets) {
+    const wait = t.kind === "finish" ? t.withinS - runS : t.withinS;
+    most = Math.min(most, Math.max(0, wait) * part);
+  }
+  return most === Number.POSITIVE_INFINITY ? runS : most;
+};
--- a/src/service/context.ts
+++ b/src/service/context.ts
@@ -1,6 +1,6 @@
 import type { Operators } from "../cli/operators.js";
-import type { Settings } from "../cli/settings.js";
-import type { ControllerLabel, Revision } from "../protocol/ids.js";
+import type { Settings, Team } from "../cli/settings.js";
+import type { ControllerLabel, Revision, TeamName } from "../protocol/ids.js";
 import type { Op } from "../protocol/store.js";
 import type { Holder } from "../storage/records.js";
 import type { Replica } from "../storage/replica.js";
@@ -10,6 +10,7 @@
 /** What all parts of one controller share. */
 export interface Context {
   readonly settings: Settings;
+  readonly teams: ReadonlyMap<TeamName, Team>;
   readonly operators: Operators;
   readonly store: Store;
   readonly replica: Replica;
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -49,6 +49,7 @@
     const rng = xoroshiro128plus(Number.parseInt(seed.slice(0, 8), 16));
     const ctx: Context = {
       settings,
+      teams: new Map(settings.teams.map((t) => [t.name, t])),
       operators,
       store: new Store(settings.stateAddress, settings.state, 24, members),
       replica: new Replica(),
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -133,8 +133,8 @@
   }
 
   #neverRuns(spec: JobSpec): string | undefined {
-    const { settings, replica } = this.ctx;
-    const team = settings.teams.find((t) => t.name === spec.team);
+    const { replica } = this.ctx;
+    const team = this.ctx.teams.get(spec.team);
     if (team === undefined) return "unknown team";
     const types = replica.types?.value ?? [];
     const some = types.some(
