--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -10,8 +10,9 @@
   token,
 } from "./ids.js";
 
-export type TaskStage = "fetching" | "running" | "saving" | "ended";
-export type EndCause = "done" | "halted" | "error" | "no_room" | "in_use" | "unknown";
+/** `other`: a stage of a later version; the task is there, which is what counts. */
+export type TaskStage = "fetching" | "running" | "saving" | "ended" | "other";
+export type EndCause = "done" | "halted" | "error" | "no_room" | "in_use" | "unknown" | "other";
 
 export interface TaskReport {
   readonly task: TaskId;
@@ -59,11 +60,10 @@
   if (!isMap(v)) return undefined;
   const task = text(v.thread);
   const attempt = count(v.try);
-  const stage = typeof v.stage === "string" ? STAGES[v.stage] : undefined;
+  const stage = typeof v.stage === "string" ? (STAGES[v.stage] ?? "other") : undefined;
   if (task === undefined || !TASK.test(task) || attempt === undefined || stage === undefined)
     return undefined;
-  const cause = CAUSES.find((c) => c === v.cause);
-  if (stage === "ended" && cause === undefined) return undefined;
+  const cause = CAUSES.find((c) => c === v.cause) ?? (stage === "ended" ? "other" : undefined);
   return {
     task: task as TaskId,
     attempt: attemptNo(attempt),
--- /dev/null
+++ b/test/codecs.test.ts
@@ -0,0 +1,206 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { checkOperators, parseOperators } from "../src/cli/operators.js";
+import { parseSettings } from "../src/cli/settings.js";
+import { decode, encode } from "../src/protocol/cbor.js";
+import { attemptNo, jobId, machineId, shareNo, wall } from "../src/protocol/ids.js";
+import { parseSubmission } from "../src/protocol/jobs.js";
+import { decodePeer, encodePeer } from "../src/protocol/peer.js";
+import { parseReport } from "../src/protocol/workers.js";
+import { rangesAdd, rangesCount, rangesHas, rangesMissing } from "../src/storage/ranges.js";
+import { liveValue, newJob, parseLive } from "../src/storage/records.js";
+
+export const SUBMISSION = {
+  uid: "wk-000412",
+  weave: "train",
+  crew: "vision",
+  pattern: "sweep",
+  rank: "high",
+  threads: 16,
+  cpus: 8.0,
+  gpus: 1.0,
+  ramGb: 64.0,
+  bolt: "img-07",
+  imageGb: 6.2,
+  frames: ["g8"],
+  mill: null,
+  oneZone: true,
+  apart: false,
+  remnant: true,
+  expectS: 240.0,
+  knotS: 30.0,
+  spoolS: 4.0,
+  dueS: 900.0,
+};
+
+const submissions: readonly [string, unknown, boolean][] = [
+  ["the protocol's example", SUBMISSION, true],
+  ["unknown fields are ignored", { ...SUBMISSION, extra: 1 }, true],
+  ["null may be omitted", { ...SUBMISSION, frames: undefined, dueS: undefined }, true],
+  ["not a map", [1], false],
+  ["nothing", null, false],
+  ["a wrong id", { ...SUBMISSION, uid: "job-1" }, false],
+  ["an id with a path in it", { ...SUBMISSION, uid: "wk-1/2" }, false],
+  ["no team", { ...SUBMISSION, crew: undefined }, false],
+  ["an unknown pattern", { ...SUBMISSION, pattern: "dance" }, false],
+  ["an unknown rank", { ...SUBMISSION, rank: "vip" }, false],
+  ["no tasks", { ...SUBMISSION, threads: 0 }, false],
+  ["too many tasks", { ...SUBMISSION, threads: 100_001 }, false],
+  ["half a task", { ...SUBMISSION, threads: 1.5 }, false],
+  ["negative cpus", { ...SUBMISSION, cpus: -1 }, false],
+  ["no number", { ...SUBMISSION, ramGb: Number.NaN }, false],
+  ["endless", { ...SUBMISSION, expectS: Number.POSITIVE_INFINITY }, false],
+  ["a text for a flag", { ...SUBMISSION, apart: "yes" }, false],
+  ["types that are no names", { ...SUBMISSION, frames: [1] }, false],
+];
+
+test("submissions", () => {
+  for (const [name, body, ok] of submissions) {
+    const over = decode(encode(body));
+    assert.equal(parseSubmission(over).ok, ok, name);
+  }
+});
+
+const REPORT = {
+  loom: "m-000231",
+  endpoint: "10.1.0.232:9000",
+  frame: "g8",
+  mill: "a",
+  remnant: true,
+  shift: 1,
+  tally: 88,
+  baton: 41,
+  warningS: null,
+  threads: [{ thread: "wk-000398/0", try: 1, stage: "ended", cause: "done" }],
+};
+const reports: readonly [string, unknown, boolean][] = [
+  ["the protocol's example", REPORT, true],
+  ["no tasks", { ...REPORT, threads: [] }, true],
+  ["not a map", "beat", false],
+  ["no session", { ...REPORT, shift: undefined }, false],
+  ["one unreadable task spoils the list", { ...REPORT, threads: [{ thread: "x" }] }, false],
+  [
+    "a stage of a later version is still a task that is there",
+    { ...REPORT, threads: [{ thread: "wk-1/0", try: 1, stage: "waiting" }] },
+    true,
+  ],
+];
+
+test("reports", () => {
+  for (const [name, body, ok] of reports)
+    assert.equal(parseReport(decode(encode(body))) !== undefined, ok, name);
+});
+
+test("a live job's record keeps everything", () => {
+  const parsed = parseSubmission(SUBMISSION);
+  assert.ok(parsed.ok);
+  const job = {
+    ...newJob(parsed.value, wall(1_700_000_000_000)),
+    cancelledAt: wall(1_700_000_001_000),
+    done: [0, 3, 7, 7],
+    open: [{ index: 4, attempt: attemptNo(9), machine: machineId("m-000001") }],
+    nextAttempt: 10,
+  };
+  assert.deepEqual(parseLive(jobId("wk-000412"), decode(encode(liveValue(job)))), job);
+});
+
+test("peer messages", () => {
+  const m = {
+    from: "loom-1",
+    moves: [{ machine: machineId("m-000001"), to: shareNo(2) }],
+    retire: [machineId("m-000002")],
+  };
+  assert.deepEqual(decodePeer(encodePeer(m)), m);
+  assert.throws(() => decodePeer(new Uint8Array([0xff, 0xff, 0xff])));
+});
+
+test("ranges of finished tasks", () => {
+  const r = [5, 0, 1, 3, 2, 9, 2].reduce(rangesAdd, [] as readonly number[]);
+  assert.deepEqual(r, [0, 3, 5, 5, 9, 9]);
+  assert.equal(rangesCount(r), 6);
+  assert.deepEqual(
+    [0, 3, 4, 5, 8, 9, 10].map((x) => rangesHas(r, x)),
+    [true, true, false, true, false, true, false],
+  );
+  assert.deepEqual(rangesMissing(r, 12, new Set([6]), 3), [4, 7, 8]);
+  assert.deepEqual(rangesMissing([0, 11], 12, new Set(), 3), []);
+});
+
+const SETTINGS = `
+label = "loom-0"
+area = "z"
+front = "10.0.0.1:8080"
+internal_addr = "10.0.0.1:8081"
+later = "ignored"
+[[seeds]]
+label = "loom-1"
+area = "z"
+address = "10.0.0.2:8081"
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params]
+size = 2
+zones = ["z"]
+[[params.teams]]
+name = "a"
+cpus_max = 0.0
+[params.workers]
+report_s = 3.0
+lease_s = 21.0
+cancel_s = 46.0
+[params.state]
+rps = 250.0
+write_rps = 50.0
+value_kb = 8.0
+txn_ops = 40
+[params.cloud]
+rps = 2.0
+[params.resources]
+ram_mb = 178.0
+`;
+
+const settings: readonly [string, string, string | null][] = [
+  ["as handed over", SETTINGS, null],
+  ["not TOML", "label = ", "not TOML"],
+  ["a missing address", SETTINGS.replace('cloud = "10.2.0.2:8443"', ""), "services.cloud"],
+  ["a name for an address", SETTINGS.replace("10.2.0.1:2379", "state:2379"), "services.state"],
+  ["a negative limit", SETTINGS.replace("rps = 250.0", "rps = -1.0"), "params.state.rps"],
+  ["a fraction of a controller", SETTINGS.replace("size = 2", "size = 2.5"), "params.size"],
+  ["a label twice", SETTINGS.replace('"loom-1"', '"loom-0"'), "seeds"],
+];
+
+test("settings, and one clear line for each fault", () => {
+  for (const [name, text, fault] of settings) {
+    const r = parseSettings(text);
+    if (fault === null) {
+      assert.ok(r.ok, name);
+      assert.equal(r.value.teams[0]?.cpusMax, Number.POSITIVE_INFINITY);
+    } else {
+      assert.ok(!r.ok, name);
+      assert.equal(r.faults.length, 1, name);
+      assert.ok(r.faults[0]?.startsWith(fault), `${name}: ${r.faults[0]}`);
+    }
+  }
+});
+
+test("operators' settings", async () => {
+  const good = await parseOperators("fleet {\n headroom = 0.5\n}\n");
+  assert.ok(good.ok);
+  assert.equal(good.value.headroom, 0.5);
+  const bad: readonly [string, string][] = [
+    ["fleet {\n headrom = 1\n}\n", "fleet.headrom"],
+    ["flet {\n}\n", "flet"],
+    ["fleet {\n headroom = -1\n}\n", "fleet.headroom"],
+    ["fleet {\n headroom = ", "not HCL"],
+  ];
+  for (const [text, fault] of bad) {
+    const r = await parseOperators(text);
+    assert.ok(!r.ok, text);
+    assert.ok(
+      r.faults.some((f) => f.startsWith(fault)),
+      `${text}: ${r.faults}`,
+    );
+  }
+  assert.ok(checkOperators({}).ok);
+});
--- /dev/null
+++ b/test/fleet.test.ts
@@ -0,0 +1,213 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import type { Objective } from "../src/cli/settings.js";
+import type { MachineType } from "../src/protocol/cloud.js";
+import { jobId, machineId, shareNo, teamName, wall } from "../src/protocol/ids.js";
+import type { Rank } from "../src/protocol/jobs.js";
+import {
+  type DemandGroup,
+  decayingPeak,
+  type FleetMachine,
+  offerKey,
+  planFleet,
+} from "../src/scheduling/fleet.js";
+import { slackS, targetsOf } from "../src/scheduling/objectives.js";
+import { owedJobs, queueOrder } from "../src/scheduling/order.js";
+import { type LiveJob, newJob } from "../src/storage/records.js";
+
+const type = (name: string, cpus: number, price: number, spotPrice: number): MachineType => ({
+  name,
+  capacity: { cpus, gpus: 0, ramGb: cpus * 4 },
+  cacheGb: 30,
+  fetchGbPerS: 1,
+  price,
+  spotPrice,
+  bootS: 40,
+  zones: ["a", "b"],
+});
+const SMALL = type("small", 8, 0.36, 0.15);
+const LARGE = type("large", 16, 0.8, 0.32);
+
+const machine = (id: string, share: number, over: Partial<FleetMachine> = {}): FleetMachine => ({
+  id: machineId(id),
+  share: shareNo(share),
+  type: SMALL,
+  zone: "a",
+  spot: true,
+  up: true,
+  use: { cpus: 0, gpus: 0, ramGb: 0 },
+  open: 0,
+  idleS: 100,
+  heldS: 100,
+  ...over,
+});
+const group = (share: number, wanted: number, over: Partial<DemandGroup> = {}): DemandGroup => ({
+  share: shareNo(share),
+  needs: { cpus: 4, gpus: 0, ramGb: 14 },
+  types: null,
+  zone: null,
+  spotAllowed: true,
+  wanted,
+  waiting: wanted,
+  ...over,
+});
+
+const plans: readonly {
+  name: string;
+  machines?: readonly FleetMachine[];
+  demand?: readonly DemandGroup[];
+  refused?: readonly string[];
+  want: { rents?: readonly string[]; moves?: readonly string[]; returns?: readonly string[] };
+}[] = [
+  {
+    name: "the cheapest slots, spread over zones",
+    demand: [group(0, 4)],
+    want: { rents: ["small a spot 1 >0", "small b spot 1 >0"] },
+  },
+  {
+    name: "no spot for a job that may not use it",
+    demand: [group(0, 2, { spotAllowed: false })],
+    want: { rents: ["small a ordinary 1 >0"] },
+  },
+  {
+    name: "a refused offer is not asked for",
+    demand: [group(0, 2)],
+    refused: [offerKey("small", "a", true), offerKey("small", "b", true)],
+    want: { rents: ["large a spot 1 >0"] },
+  },
+  {
+    name: "a booting machine counts as room",
+    machines: [machine("m", 0, { up: false })],
+    demand: [group(0, 2)],
+    want: {},
+  },
+  {
+    name: "another share's idle machine is moved instead of renting",
+    machines: [machine("m", 1)],
+    demand: [group(0, 2)],
+    want: { moves: ["m>0"] },
+  },
+  {
+    name: "a busy one is not",
+    machines: [machine("m", 1, { open: 1, use: { cpus: 4, gpus: 0, ramGb: 14 } })],
+    demand: [group(0, 1)],
+    want: { rents: ["small b spot 1 >0"] },
+  },
+  {
+    name: "what nobody wants is returned, but only after a while",
+    machines: [machine("m", 0), machine("n", 0, { idleS: 3 })],
+    want: { returns: ["m"] },
+  },
+  {
+    name: "of two, the dear one goes",
+    machines: [machine("m", 0, { spot: false }), machine("n", 0)],
+    demand: [group(0, 2, { waiting: 0 })],
+    want: { returns: ["m"] },
+  },
+];
+
+test("what is rented, moved and returned", () => {
+  for (const c of plans) {
+    const p = planFleet({
+      types: [SMALL, LARGE],
+      machines: c.machines ?? [],
+      demand: c.demand ?? [],
+      refused: new Set(c.refused ?? []),
+      idleReturnS: 20,
+      maxRents: 50,
+    });
+    assert.deepEqual(
+      p.rents.map(
+        (r) => `${r.type} ${r.zone} ${r.spot ? "spot" : "ordinary"} ${r.count} >${r.share}`,
+      ),
+      c.want.rents ?? [],
+      c.name,
+    );
+    assert.deepEqual(
+      p.moves.map((m) => `${m.machine}>${m.to}`),
+      c.want.moves ?? [],
+      c.name,
+    );
+    assert.deepEqual(p.returns, c.want.returns ?? [], c.name);
+  }
+});
+
+test("a peak rises at once and sinks slowly", () => {
+  assert.equal(decayingPeak(10, 12, 1, 60), 12);
+  assert.ok(Math.abs(decayingPeak(10, 0, 60, 60) - 10 / Math.E) < 1e-9);
+});
+
+const OBJECTIVES: readonly Objective[] = [
+  { kind: "wait", jobClass: "fast", withinS: 8, share: 0.95 },
+  { kind: "finished", jobClass: "slow", withinS: 250, share: 0.95 },
+  { kind: "guarantee", jobClass: null, withinS: 10, share: 0.9 },
+];
+const job = (
+  id: string,
+  at: number,
+  over: { jobClass?: string; rank?: Rank; tasks?: number; deadlineS?: number | null } = {},
+): readonly [ReturnType<typeof jobId>, LiveJob] => [
+  jobId(id),
+  newJob(
+    {
+      id: jobId(id),
+      jobClass: over.jobClass ?? "slow",
+      team: teamName("t"),
+      rank: over.rank ?? "normal",
+      tasks: over.tasks ?? 1,
+      needs: { cpus: 8, gpus: 0, ramGb: 1 },
+      image: "i",
+      imageGb: 1,
+      types: null,
+      zone: null,
+      oneZone: false,
+      apart: false,
+      spotAllowed: true,
+      expectS: 30,
+      checkpointS: 0,
+      saveS: 0,
+      deadlineS: over.deadlineS ?? null,
+    },
+    wall(at),
+  ),
+];
+
+test("slack runs to the next objective that can still be met", () => {
+  const fast = targetsOf({ jobClass: "fast", deadlineS: 60 }, OBJECTIVES, false);
+  assert.equal(slackS(fast, 2, 20), 6);
+  assert.equal(slackS(fast, 9, 20), 31);
+  assert.equal(slackS(fast, 50, 20), Number.POSITIVE_INFINITY);
+  assert.equal(slackS(targetsOf({ jobClass: "x", deadlineS: null }, OBJECTIVES, true), 1, 5), 9);
+});
+
+test("jobs within the guarantee, counted from the earliest", () => {
+  const team = { name: teamName("t"), cpus: 32, gpus: 0, cpusMax: 96, gpusMax: 0 };
+  const teams = new Map([[team.name, team]]);
+  const jobs = [job("wk-3", 3), job("wk-1", 1, { tasks: 2 }), job("wk-2", 2, { tasks: 2 })];
+  assert.deepEqual([...owedJobs(jobs, teams)].sort(), ["wk-1", "wk-2"]);
+});
+
+test("the order of waiting jobs: owed, rank, slack, fewest left, age", () => {
+  const q = (j: ReturnType<typeof job>, ageS: number, owed = false) => ({
+    id: j[0],
+    job: j[1],
+    ageS,
+    runS: 30,
+    owed,
+  });
+  const order = queueOrder(
+    [
+      q(job("wk-1", 1, { tasks: 5 }), 0),
+      q(job("wk-2", 2), 0),
+      q(job("wk-3", 3), 100),
+      q(job("wk-4", 4, { rank: "high", jobClass: "fast" }), 5),
+      q(job("wk-5", 5, { rank: "high", jobClass: "fast" }), 7),
+      q(job("wk-6", 6, { rank: "best_effort" }), 0, true),
+    ],
+    OBJECTIVES,
+  );
+  assert.deepEqual(
+    order.map((x) => x.id),
+    ["wk-6", "wk-5", "wk-4", "wk-3", "wk-2", "wk-1"],
+  );
+});
--- /dev/null
+++ b/test/session.test.ts
@@ -0,0 +1,280 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import {
+  attemptKey,
+  findAttempt,
+  needsBump,
+  newSession,
+  ordersFor,
+  type Session,
+  type SessionEvent,
+  settled,
+  stepSession,
+  type Wanted,
+} from "../src/coordination/session.js";
+import { attemptNo, machineId, mono, type TaskId, token } from "../src/protocol/ids.js";
+import type { EndCause, Report, TaskStage } from "../src/protocol/workers.js";
+
+const TASK = "wk-000001/0" as TaskId;
+const KEY = attemptKey(TASK, attemptNo(1));
+
+const report = (
+  session: number,
+  seq: number,
+  seen: number,
+  tasks: readonly (readonly [TaskId, number, TaskStage, EndCause?])[] = [],
+): Report => ({
+  machine: machineId("m-000001"),
+  endpoint: "10.0.0.9:1",
+  type: "t",
+  zone: "z",
+  spot: false,
+  session,
+  seq,
+  token: token(seen),
+  noticeS: null,
+  tasks: tasks.map(([task, attempt, stage, cause]) => ({
+    task,
+    attempt: attemptNo(attempt),
+    stage,
+    ...(cause === undefined ? {} : { cause }),
+    saved: false,
+  })),
+});
+
+const hear = (r: Report, via: "beat" | "direct" = "beat"): SessionEvent => ({
+  kind: "report",
+  report: r,
+  via,
+  now: mono(0),
+});
+const play = (held: number, events: readonly SessionEvent[]): Session =>
+  events.reduce(stepSession, newSession(token(held), mono(0)));
+
+const proofs: readonly {
+  name: string;
+  events: readonly SessionEvent[];
+  state: Session["state"];
+  found: string;
+}[] = [
+  { name: "nothing is believed before a report", events: [], state: "unheard", found: "unknown" },
+  {
+    name: "absence below our token proves nothing: an older command may still come",
+    events: [hear(report(1, 1, 9))],
+    state: "claiming",
+    found: "unknown",
+  },
+  {
+    name: "absence at our token is proof",
+    events: [hear(report(1, 1, 10))],
+    state: "ready",
+    found: "absent",
+  },
+  {
+    name: "a start in a beat's answer is on its way until the next beat",
+    events: [hear(report(1, 1, 10)), { kind: "answered_beat", starts: [KEY] }],
+    state: "ready",
+    found: "unsettled",
+  },
+  {
+    name: "a direct report in between settles no beat's answer",
+    events: [
+      hear(report(1, 1, 10)),
+      { kind: "answered_beat", starts: [KEY] },
+      hear(report(1, 2, 10), "direct"),
+    ],
+    state: "ready",
+    found: "unsettled",
+  },
+  {
+    name: "the next beat without it settles it",
+    events: [
+      hear(report(1, 1, 10)),
+      { kind: "answered_beat", starts: [KEY] },
+      hear(report(1, 2, 10)),
+    ],
+    state: "ready",
+    found: "absent",
+  },
+  {
+    name: "a lost direct start stays open whatever later beats say",
+    events: [
+      hear(report(1, 1, 10)),
+      { kind: "direct_sent", starts: [KEY] },
+      { kind: "direct_lost", starts: [KEY] },
+      hear(report(1, 2, 10)),
+      hear(report(1, 3, 10)),
+    ],
+    state: "ready",
+    found: "unsettled",
+  },
+  {
+    name: "a higher token, seen, settles a lost start",
+    events: [
+      hear(report(1, 1, 10)),
+      { kind: "direct_sent", starts: [KEY] },
+      { kind: "direct_lost", starts: [KEY] },
+      { kind: "held", token: token(20), now: mono(1) },
+      hear(report(1, 2, 20)),
+    ],
+    state: "ready",
+    found: "absent",
+  },
+  {
+    name: "a higher token that was not seen yet settles nothing",
+    events: [
+      hear(report(1, 1, 10)),
+      { kind: "direct_sent", starts: [KEY] },
+      { kind: "direct_lost", starts: [KEY] },
+      { kind: "held", token: token(20), now: mono(1) },
+      hear(report(1, 2, 10)),
+    ],
+    state: "claiming",
+    found: "unknown",
+  },
+  {
+    name: "a later session settles a lost start: its command named the earlier one",
+    events: [
+      hear(report(1, 1, 10)),
+      { kind: "direct_sent", starts: [KEY] },
+      { kind: "direct_lost", starts: [KEY] },
+      hear(report(2, 2, 10)),
+    ],
+    state: "ready",
+    found: "absent",
+  },
+  {
+    name: "a late, older report is passed over",
+    events: [hear(report(1, 5, 10, [[TASK, 1, "running"]])), hear(report(1, 4, 10))],
+    state: "ready",
+    found: "present",
+  },
+  {
+    name: "an unsent call leaves nothing on its way",
+    events: [
+      hear(report(1, 1, 10)),
+      { kind: "direct_sent", starts: [KEY] },
+      { kind: "direct_unsent", starts: [KEY] },
+    ],
+    state: "ready",
+    found: "absent",
+  },
+  {
+    name: "another attempt of the task is not this one",
+    events: [hear(report(1, 1, 10, [[TASK, 2, "running"]]))],
+    state: "ready",
+    found: "absent",
+  },
+];
+
+test("what a report proves of an attempt", () => {
+  for (const c of proofs) {
+    const s = play(10, c.events);
+    assert.equal(s.state, c.state, c.name);
+    assert.equal(findAttempt(s, TASK, attemptNo(1)).kind, c.found, c.name);
+  }
+});
+
+test("a lost start asks for a bump until the token has risen", () => {
+  const lost: readonly SessionEvent[] = [
+    hear(report(1, 1, 10)),
+    { kind: "direct_sent", starts: [KEY] },
+    { kind: "direct_lost", starts: [KEY] },
+  ];
+  assert.equal(needsBump(play(10, lost)), true);
+  assert.equal(
+    needsBump(play(10, [...lost, { kind: "held", token: token(20), now: mono(1) }])),
+    false,
+  );
+});
+
+const want = (attempt: number, stopGraceS: number | null): ReadonlyMap<TaskId, Wanted> =>
+  new Map([[TASK, { task: TASK, attempt: attemptNo(attempt), stopGraceS }]]);
+
+const commands: readonly {
+  name: string;
+  events: readonly SessionEvent[];
+  wanted: ReadonlyMap<TaskId, Wanted>;
+  orders: readonly string[];
+}[] = [
+  {
+    name: "nothing is commanded below our token",
+    events: [hear(report(1, 1, 9))],
+    wanted: want(1, null),
+    orders: [],
+  },
+  {
+    name: "a wanted attempt that is absent is started",
+    events: [hear(report(1, 1, 10))],
+    wanted: want(1, null),
+    orders: ["start 1"],
+  },
+  {
+    name: "a start that is being sent is not sent twice",
+    events: [hear(report(1, 1, 10)), { kind: "direct_sent", starts: [KEY] }],
+    wanted: want(1, null),
+    orders: [],
+  },
+  {
+    name: "a running attempt that no record knows is stopped",
+    events: [hear(report(1, 1, 10, [[TASK, 1, "running"]]))],
+    wanted: new Map(),
+    orders: ["stop 1"],
+  },
+  {
+    name: "an exited one that is closed is forgotten",
+    events: [hear(report(1, 1, 10, [[TASK, 1, "ended", "done"]]))],
+    wanted: new Map(),
+    orders: ["forget 1"],
+  },
+  {
+    name: "an exited one is not forgotten before it is closed",
+    events: [hear(report(1, 1, 10, [[TASK, 1, "ended", "done"]]))],
+    wanted: want(1, null),
+    orders: [],
+  },
+  {
+    name: "nor while a copy of its start may arrive: it would run afresh",
+    events: [
+      hear(report(1, 1, 10)),
+      { kind: "direct_sent", starts: [KEY] },
+      { kind: "direct_lost", starts: [KEY] },
+      hear(report(1, 2, 10, [[TASK, 1, "ended", "halted"]])),
+    ],
+    wanted: new Map(),
+    orders: [],
+  },
+  {
+    name: "an old attempt goes before the new one starts",
+    events: [hear(report(1, 1, 10, [[TASK, 1, "ended", "halted"]]))],
+    wanted: want(2, null),
+    orders: ["forget 1", "start 2"],
+  },
+  {
+    name: "one that saves is left to save, unless it is of no use any more",
+    events: [hear(report(1, 1, 10, [[TASK, 1, "saving"]]))],
+    wanted: want(1, 5),
+    orders: [],
+  },
+  {
+    name: "a cancelled one that saves is ended",
+    events: [hear(report(1, 1, 10, [[TASK, 1, "saving"]]))],
+    wanted: want(1, 0),
+    orders: ["stop 1"],
+  },
+];
+
+test("what a machine is told", () => {
+  for (const c of commands) {
+    const s = play(10, c.events);
+    assert.deepEqual(
+      ordersFor(s, c.wanted).map((o) => `${o.op} ${o.attempt}`),
+      c.orders,
+      c.name,
+    );
+  }
+});
+
+test("an attempt without any command sent is settled", () => {
+  assert.equal(settled(play(10, []), KEY), true);
+});
