--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -15,7 +15,10 @@
   readonly idleReturnS: number;
   readonly headroom: number;
   readonly patience: number;
-  readonly peakS: number;
+  readonly riseS: number;
+  readonly fallS: number;
+  readonly preemptSlackS: number;
+  readonly preemptMaxLossS: number;
   readonly refusedPauseS: number;
   readonly bootPatience: number;
   readonly statsPeriodS: number;
@@ -52,7 +55,10 @@
   knob("fleet", "idle_return_s", "idleReturnS", 0, 86_400, 25),
   knob("fleet", "headroom", "headroom", 0, 10, 0.1),
   knob("fleet", "patience", "patience", 0, 1, 0.3),
-  knob("fleet", "peak_s", "peakS", 0.1, 86_400, 60),
+  knob("fleet", "rise_s", "riseS", 0, 86_400, 15),
+  knob("fleet", "fall_s", "fallS", 0, 86_400, 60),
+  knob("preemption", "slack_s", "preemptSlackS", 0, 86_400, 12),
+  knob("preemption", "max_loss_s", "preemptMaxLossS", 0, 86_400, 15),
   knob("fleet", "refused_pause_s", "refusedPauseS", 0, 86_400, 20),
   knob("fleet", "boot_patience", "bootPatience", 1, 100, 3),
   knob("logs", "stats_period_s", "statsPeriodS", 1, 86_400, 30),
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -15,7 +15,7 @@
   timeOfDay,
   token,
 } from "../protocol/ids.js";
-import type { JobSpec, Resources } from "../protocol/jobs.js";
+import { type JobSpec, type Resources, rankOrder } from "../protocol/jobs.js";
 import type { Condition, Op } from "../protocol/store.js";
 import {
   beatAnswer,
@@ -26,7 +26,7 @@
   redirectBody,
   type TaskReport,
 } from "../protocol/workers.js";
-import { owedJobs, queueOrder } from "../scheduling/order.js";
+import { owedJobs, type Queued, queueOrder } from "../scheduling/order.js";
 import {
   choosePlace,
   occupy,
@@ -34,6 +34,7 @@
   permitted,
   type ZoneCounts,
 } from "../scheduling/placement.js";
+import { cheapestRoom, type Ground, mayPreempt, type Victim } from "../scheduling/preempt.js";
 import { fits, minus, NOTHING, plus } from "../scheduling/resources.js";
 import { type SwarmMachine, type SwarmTask, swarmRound } from "../scheduling/swarm.js";
 import { absorb, type Context, refresh } from "../service/context.js";
@@ -108,6 +109,7 @@
   /** Moves whose task is to start again there: they count as use of the destination (eq. 18). */
   readonly #incoming = new Map<TaskId, { readonly to: MachineId; readonly until: Mono }>();
   readonly counters = {
+    preempted: 0,
     starts: 0,
     done: 0,
     lost: 0,
@@ -380,6 +382,7 @@
     this.#watchSilence(now);
     const held = this.membership.heldShares();
     if (held.length === 0) return false;
+    for (const [task, x] of this.#incoming) if (x.until <= now) this.#incoming.delete(task);
     this.#heedNotices(now);
     this.#heedCancels();
     if (now - this.#swarmAt >= ctx.operators.swarmPeriodS * 1000) {
@@ -494,7 +497,6 @@
   /** The paper's period: tasks cheap to restart leave machines that can be emptied. */
   #swarm(share: ShareNo, now: Mono): void {
     const { replica, operators } = this.ctx;
-    for (const [task, x] of this.#incoming) if (x.until <= now) this.#incoming.delete(task);
     const teams = replica.teams?.value;
     // While tasks wait, every freed place fills anyway.
     for (const { value: j } of replica.jobs.values())
@@ -861,7 +863,52 @@
     return out;
   }
 
-  /** The place kept for a task that moves, if it still fits there. */
+  /** Stops what loses least to make room for a task, and keeps the room for it. */
+  #preempt(
+    task: TaskId,
+    by: Queued,
+    owed: ReadonlySet<JobId>,
+    candidates: readonly Place[],
+    zones: ZoneCounts,
+    effects: RoundEffects,
+    now: Mono,
+  ): boolean {
+    const { replica, operators } = this.ctx;
+    const { spec } = by.job;
+    const me = { rank: rankOrder(spec.rank), owed: by.owed, team: spec.team };
+    const grounds: Ground[] = [];
+    for (const p of candidates) {
+      if (!permitted(spec, p, zones)) continue;
+      const victims: Victim[] = [];
+      for (const [t, o] of replica.openOn(p.id)) {
+        const job = replica.jobs.get(o.job)?.value;
+        const note = this.#attempts.get(attemptKey(t, o.attempt));
+        if (job === undefined || job.cancelledAt !== null || note?.stop != null) continue;
+        const { rank, team, needs, saveS } = job.spec;
+        if (!mayPreempt(me, { rank: rankOrder(rank), owed: owed.has(o.job), team })) continue;
+        victims.push({ task: t, needs, lossS: this.#lossS(job, note, now) + saveS });
+      }
+      if (victims.length > 0) grounds.push({ id: p.id, free: minus(p.capacity, p.use), victims });
+    }
+    const room = cheapestRoom(spec.needs, grounds, operators.preemptMaxLossS);
+    if (room === null) return false;
+    const place = candidates.find((p) => p.id === room.machine);
+    for (const v of room.victims) {
+      const o = replica.openOn(room.machine).get(v.task);
+      const job = o === undefined ? undefined : replica.jobs.get(o.job)?.value;
+      if (o === undefined || job === undefined) continue;
+      this.#stop(attemptKey(v.task, o.attempt), room.machine, "preempted", job.spec.saveS);
+      this.counters.preempted++;
+      // Its room is on its way: what the newcomer needs of it is taken below.
+      if (place !== undefined) place.use = minus(place.use, v.needs);
+    }
+    if (place !== undefined) occupy(place, spec.needs);
+    this.#incoming.set(task, { to: room.machine, until: mono(now + MOVE_MS) });
+    effects.call.add(room.machine);
+    return true;
+  }
+
+  /** The place kept for a task, if it fits there by now; its own keeping is no obstacle. */
   #placeKept(
     task: TaskId,
     spec: JobSpec,
@@ -869,13 +916,13 @@
     zones: ZoneCounts,
   ): Place | null {
     const x = this.#incoming.get(task);
-    if (x === undefined) return null;
-    this.#incoming.delete(task);
-    const place = places.get(x.to);
+    const place = x === undefined ? undefined : places.get(x.to);
     if (place === undefined || !permitted(spec, place, zones)) return null;
-    place.use = minus(place.use, spec.needs);
-    if (fits(spec.needs, minus(place.capacity, place.use))) return place;
-    return null;
+    const without = minus(place.use, spec.needs);
+    if (!fits(spec.needs, minus(place.capacity, without))) return null;
+    place.use = without;
+    this.#incoming.delete(task);
+    return place;
   }
 
   #place(
@@ -927,10 +974,16 @@
       for (const index of indexes) {
         const after = plus(used, spec.needs);
         if (after.cpus > team.cpusMax + 1e-9 || after.gpus > team.gpusMax + 1e-9) break;
+        const task = taskId(w.id, index);
         const place =
-          this.#placeKept(taskId(w.id, index), spec, places, zones) ??
-          choosePlace(spec, candidates, zones);
-        if (place === null) break;
+          this.#placeKept(task, spec, places, zones) ?? choosePlace(spec, candidates, zones);
+        if (place !== null) this.#incoming.delete(task);
+        if (place === null) {
+          if (w.slack > this.ctx.operators.preemptSlackS) break;
+          if (this.#incoming.has(task)) continue;
+          if (!this.#preempt(task, w, owed, candidates, zones, effects, now)) break;
+          continue;
+        }
         const attempt: AttemptNo = attemptNo(next);
         bytes += `"${index}:${attempt}:${place.id}",`.length;
         if (bytes > valueLimit) break;
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -56,7 +56,7 @@
   readonly #budget: Budget;
   readonly #refusedUntil = new Map<string, Mono>();
   readonly #idleSince = new Map<MachineId, Mono>();
-  #peaks: ReadonlyMap<string, number> = new Map();
+  #levels: ReadonlyMap<string, number> = new Map();
   readonly #returned = new Set<MachineId>();
   #typesAt: Mono = mono(Number.NEGATIVE_INFINITY);
   #listAt: Mono = mono(Number.NEGATIVE_INFINITY);
@@ -319,11 +319,12 @@
       bootS: Math.min(...(replica.types?.value ?? []).map((t) => t.bootS)),
       headroom: operators.headroom,
       patience: operators.patience,
-      peakS: operators.peakS,
+      riseS: operators.riseS,
+      fallS: operators.fallS,
       dtS,
-      peaks: this.#peaks,
+      levels: this.#levels,
     });
-    this.#peaks = d.peaks;
+    this.#levels = d.levels;
     return d.groups;
   }
 
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -2,7 +2,7 @@
 import type { JobId, ShareNo, TeamName } from "../protocol/ids.js";
 import { type Resources, rankOrder } from "../protocol/jobs.js";
 import { type LiveJob, waitingCount } from "../storage/records.js";
-import { type DemandGroup, decayingPeak } from "./fleet.js";
+import { type DemandGroup, follow } from "./fleet.js";
 import { patienceS, targetsOf } from "./objectives.js";
 
 export interface DemandInput {
@@ -16,10 +16,11 @@
   readonly bootS: number;
   readonly headroom: number;
   readonly patience: number;
-  readonly peakS: number;
+  readonly riseS: number;
+  readonly fallS: number;
   readonly dtS: number;
   /** Level kept from the last look, by group. */
-  readonly peaks: ReadonlyMap<string, number>;
+  readonly levels: ReadonlyMap<string, number>;
 }
 
 interface Sum {
@@ -38,12 +39,13 @@
 
 /**
  * Slots wanted by group. A class whose objectives leave less time than a machine takes to boot
- * wants room for its recent peak; one with time to spare wants enough for its backlog to drain
- * within a part of that time.
+ * wants room for all that is in the system, and some more; one with time to spare wants enough
+ * for its backlog to drain within a part of that time. Both are smoothed: a burst that is over
+ * before a machine has booted is no reason to rent one.
  */
 export const demandOf = (
   d: DemandInput,
-): { readonly groups: readonly DemandGroup[]; readonly peaks: ReadonlyMap<string, number> } => {
+): { readonly groups: readonly DemandGroup[]; readonly levels: ReadonlyMap<string, number> } => {
   const sums = new Map<string, Sum>();
   const teamRoom = new Map<TeamName, number>();
   for (const [id, j] of d.jobs) {
@@ -71,21 +73,16 @@
     e.waiting += waiting;
     e.needed += waiting * Math.min(1, runS / Math.max(runS, patience + runS));
   }
-  const peaks = new Map<string, number>();
+  const levels = new Map<string, number>();
   const ranked: { g: DemandGroup; rank: number }[] = [];
   for (const [key, e] of sums) {
     const level = e.urgent ? e.open + e.waiting : e.open + e.needed;
-    const peak = decayingPeak(
-      d.peaks.get(key) ?? 0,
-      level,
-      d.dtS,
-      e.urgent ? d.peakS : d.bootS / 2,
-    );
-    peaks.set(key, peak);
-    const want = e.urgent ? peak * (1 + d.headroom) : peak;
+    const seen = follow(d.levels.get(key) ?? 0, level, d.dtS, d.riseS, d.fallS);
+    levels.set(key, seen);
+    const want = e.urgent ? seen * (1 + d.headroom) : seen;
     const { open, needed, urgent, rank, ...g } = e;
     ranked.push({ g: { ...g, wanted: Math.max(0, Math.ceil(want) - open) }, rank });
   }
   ranked.sort((a, b) => a.rank - b.rank);
-  return { groups: ranked.map((r) => r.g), peaks };
+  return { groups: ranked.map((r) => r.g), levels };
 };
--- a/src/scheduling/fleet.ts
+++ b/src/scheduling/fleet.ts
@@ -188,6 +188,14 @@
   return { rents: [...rents.values()], moves, returns };
 };
 
-/** A smoothed level that rises at once and sinks slowly, for demand that must find room at once. */
-export const decayingPeak = (old: number, level: number, dtS: number, tauS: number): number =>
-  Math.max(level, old * Math.exp(-dtS / tauS));
+/** A level that follows what it sees, upwards and downwards each at its own pace. */
+export const follow = (
+  old: number,
+  level: number,
+  dtS: number,
+  riseS: number,
+  fallS: number,
+): number => {
+  const tau = level > old ? riseS : fallS;
+  return tau <= 0 ? level : level + (old - level) * Math.exp(-dtS / tau);
+};
--- a/src/scheduling/order.ts
+++ b/src/scheduling/order.ts
@@ -29,7 +29,7 @@
   return owed;
 };
 
-export interface Queued {
+export interface Waiting {
   readonly id: JobId;
   readonly job: LiveJob;
   readonly ageS: number;
@@ -37,9 +37,14 @@
   readonly owed: boolean;
 }
 
+export interface Queued extends Waiting {
+  /** Seconds until its next task must start for the next objective that can still be met. */
+  readonly slack: number;
+}
+
 /** Rank first, then what is owed, then the least slack, then the fewest tasks left, then age. */
 export const queueOrder = (
-  waiting: readonly Queued[],
+  waiting: readonly Waiting[],
   objectives: readonly Objective[],
 ): readonly Queued[] => {
   const keyed = waiting.map((q) => ({
@@ -56,5 +61,5 @@
       a.left - b.left ||
       a.q.job.acceptedAt - b.q.job.acceptedAt,
   );
-  return keyed.map((k) => k.q);
+  return keyed.map((k) => ({ ...k.q, slack: k.slack }));
 };
