--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -19,6 +19,7 @@
   readonly fallS: number;
   readonly preemptSlackS: number;
   readonly preemptMaxLossS: number;
+  readonly lifeS: number;
   readonly refusedPauseS: number;
   readonly bootPatience: number;
   readonly statsPeriodS: number;
@@ -58,7 +59,8 @@
   knob("fleet", "rise_s", "riseS", 0, 86_400, 15),
   knob("fleet", "fall_s", "fallS", 0, 86_400, 60),
   knob("preemption", "slack_s", "preemptSlackS", 0, 86_400, 12),
-  knob("preemption", "max_loss_s", "preemptMaxLossS", 0, 86_400, 15),
+  knob("preemption", "max_loss_s", "preemptMaxLossS", 0, 86_400, 600),
+  knob("fleet", "life_s", "lifeS", 1, 86_400, 300),
   knob("fleet", "refused_pause_s", "refusedPauseS", 0, 86_400, 20),
   knob("fleet", "boot_patience", "bootPatience", 1, 100, 3),
   knob("logs", "stats_period_s", "statsPeriodS", 1, 86_400, 30),
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -1005,6 +1005,17 @@
       use.set(spec.team, used);
       this.counters.starts += starts.length;
       for (const o of starts) effects.call.add(o.machine);
+      if (this.ctx.log.enabled("debug"))
+        this.ctx.log.debug("starts", {
+          job: w.id,
+          jobClass: spec.jobClass,
+          share,
+          tasks: spec.tasks,
+          starts: starts.length,
+          waiting: waitingCount(d.job),
+          ageS: Math.round(w.ageS * 10) / 10,
+          runS: Math.round(w.runS),
+        });
     }
   }
 
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -163,7 +163,11 @@
   async #hire(): Promise<void> {
     for (const [name, h] of [...this.ctx.replica.hires]) {
       const v = h.value;
-      const r = await this.#cloudCall("POST", "/machines", rentBody({ name, ...v }));
+      const r = await this.#cloudCall(
+        "POST",
+        "/machines",
+        rentBody({ name, ...v, count: v.shares.length }),
+      );
       if (r === undefined) return;
       const key = keys.hire(name);
       if (r.status === 200) {
@@ -189,16 +193,16 @@
   async #hired(name: string, v: HireRecord, ids: readonly MachineId[]): Promise<void> {
     const { replica, settings } = this.ctx;
     this.counters.rented += ids.length;
-    if (ids.length < v.count) this.#refuse(v);
-    const record: MachineRecord = {
-      share: v.share,
+    if (ids.length < v.shares.length) this.#refuse(v);
+    const record = (id: MachineId): MachineRecord => ({
+      share: v.shares[ids.indexOf(id)] ?? shareNo(0),
       type: v.type,
       zone: v.zone,
       spot: v.spot,
       endpoint: "",
       stage: "up",
       rentedAt: timeOfDay(),
-    };
+    });
     const fresh = ids.filter((id) => !replica.machines.has(id));
     const step = Math.max(1, settings.state.txnOps - 1);
     const key = keys.hire(name);
@@ -207,7 +211,7 @@
       const ops: Op[] = part.map((id) => ({
         kind: "put",
         key: keys.machine(id),
-        value: machineValue(record),
+        value: machineValue(record(id)),
       }));
       // The intent goes with the last part: until then a successor would ask again.
       if (i + step >= fresh.length) ops.push({ kind: "delete", key });
@@ -378,6 +382,7 @@
       refused: new Set(this.#refusedUntil.keys()),
       idleReturnS: operators.idleReturnS,
       maxRents: MAX_RENT,
+      lifeS: operators.lifeS,
     });
     await this.#ask(plan.moves, plan.returns);
     await this.#intend(plan.rents);
@@ -392,7 +397,7 @@
     // Named by this term of leadership: no two terms share a revision, no term a number.
     const some = rents.slice(0, Math.min(settings.state.txnOps, 8)).map((r) => ({
       name: `${lead.rev}-${++this.#names}`,
-      r: { ...r, count: Math.min(r.count, MAX_RENT) },
+      r: { ...r, shares: r.shares.slice(0, MAX_RENT) },
     }));
     const done = await this.#txn({
       conditions: some.map((x) => ({ key: keys.hire(x.name), rev: ABSENT })),
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -77,7 +77,7 @@
   const ranked: { g: DemandGroup; rank: number }[] = [];
   for (const [key, e] of sums) {
     const level = e.urgent ? e.open + e.waiting : e.open + e.needed;
-    const seen = follow(d.levels.get(key) ?? 0, level, d.dtS, d.riseS, d.fallS);
+    const seen = follow(d.levels.get(key) ?? level, level, d.dtS, d.riseS, d.fallS);
     levels.set(key, seen);
     const want = e.urgent ? seen * (1 + d.headroom) : seen;
     const { open, needed, urgent, rank, ...g } = e;
--- a/src/scheduling/fleet.ts
+++ b/src/scheduling/fleet.ts
@@ -35,8 +35,8 @@
   readonly type: string;
   readonly zone: string;
   readonly spot: boolean;
-  readonly count: number;
-  readonly share: ShareNo;
+  /** The share that each of the machines is for. */
+  readonly shares: readonly ShareNo[];
 }
 
 export interface FleetPlan {
@@ -54,6 +54,8 @@
   /** Least charge and hysteresis: an idle machine is kept this long. */
   readonly idleReturnS: number;
   readonly maxRents: number;
+  /** How long a rented machine is kept, on the whole: what its boot costs is spread over that. */
+  readonly lifeS: number;
 }
 
 export const offerKey = (type: string, zone: string, spot: boolean): string =>
@@ -100,7 +102,8 @@
     const perMachine = slots(g.needs, type.capacity);
     if (perMachine === 0) continue;
     for (const spot of [true, false]) {
-      const cost = (spot ? type.spotPrice : type.price) / perMachine;
+      const price = (spot ? type.spotPrice : type.price) * (1 + type.bootS / input.lifeS);
+      const cost = price / perMachine;
       for (const zone of type.zones) {
         if (!allows(g, { type: type.name, zone, spot })) continue;
         const key = offerKey(type.name, zone, spot);
@@ -168,14 +171,12 @@
       if (offer === undefined) break;
       const key = offerKey(offer.type.name, offer.zone, offer.spot);
       asked.set(key, (asked.get(key) ?? 0) + 1);
-      const slot = `${key}|${g.share}`;
-      const r = rents.get(slot);
-      rents.set(slot, {
+      const r = rents.get(key);
+      rents.set(key, {
         type: offer.type.name,
         zone: offer.zone,
         spot: offer.spot,
-        count: (r?.count ?? 0) + 1,
-        share: g.share,
+        shares: [...(r?.shares ?? []), g.share],
       });
       total++;
       rest -= offer.perMachine;
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -125,8 +125,8 @@
   readonly type: string;
   readonly zone: string;
   readonly spot: boolean;
-  readonly count: number;
-  readonly share: ShareNo;
+  /** The share that each of the machines is for; as many are asked for. */
+  readonly shares: readonly ShareNo[];
   readonly at: Wall;
 }
 
@@ -134,8 +134,7 @@
   t: h.type,
   z: h.zone,
   p: h.spot,
-  n: h.count,
-  s: h.share,
+  s: h.shares,
   a: h.at,
 });
 
@@ -143,15 +142,13 @@
   if (!isMap(v)) return undefined;
   const t = text(v.t);
   const z = text(v.z);
-  const n = count(v.n);
-  const s = count(v.s);
-  if (t === undefined || z === undefined || n === undefined || s === undefined) return undefined;
+  const shares = list(v.s)?.map(count);
+  if (t === undefined || z === undefined || shares === undefined) return undefined;
   return {
     type: t,
     zone: z,
     spot: v.p === true,
-    count: n,
-    share: shareNo(s),
+    shares: shares.map((n) => shareNo(n ?? 0)),
     at: wall(amount(v.a) ?? 0),
   };
 };
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -116,10 +116,12 @@
       refused: new Set(c.refused ?? []),
       idleReturnS: 20,
       maxRents: 50,
+      lifeS: 300,
     });
     assert.deepEqual(
       p.rents.map(
-        (r) => `${r.type} ${r.zone} ${r.spot ? "spot" : "ordinary"} ${r.count} >${r.share}`,
+        (r) =>
+          `${r.type} ${r.zone} ${r.spot ? "spot" : "ordinary"} ${r.shares.length} >${r.shares}`,
       ),
       c.want.rents ?? [],
       c.name,
