--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -29,6 +29,8 @@
 import { owedJobs, type Queued, queueOrder } from "../scheduling/order.js";
 import {
   choosePlace,
+  contenders,
+  distinctNeeds,
   occupy,
   type Place,
   permitted,
@@ -791,6 +793,10 @@
   #places(share: ShareNo, written: ReadonlyMap<JobId, Draft>, batch: Batch): Map<MachineId, Place> {
     const { replica } = this.ctx;
     const out = new Map<MachineId, Place>();
+    const shapes = distinctNeeds([...replica.jobs.values()].map((j) => j.value.spec.needs));
+    const rivals = new Map(
+      (replica.types?.value ?? []).map((t) => [t.name, contenders(t.capacity, shapes)]),
+    );
     for (const [id, m] of replica.machines) {
       if (m.value.share !== share) continue;
       const type = replica.types?.value.find((t) => t.name === m.value.type);
@@ -831,6 +837,7 @@
         price: m.value.spot ? type.spotPrice : type.price,
         fetchGbPerS: type.fetchGbPerS,
         images: new Set(note.images.keys()),
+        contenders: rivals.get(type.name) ?? 0,
       });
     }
     return out;
--- a/src/scheduling/fleet.ts
+++ b/src/scheduling/fleet.ts
@@ -1,6 +1,7 @@
 import type { MachineType } from "../protocol/cloud.js";
 import type { MachineId, ShareNo } from "../protocol/ids.js";
 import type { Resources } from "../protocol/jobs.js";
+import { contenders, distinctNeeds } from "./placement.js";
 import { fits, minus, slots } from "./resources.js";
 
 /** Tasks that are alike for renting: same share, need and allowed machines. */
@@ -137,7 +138,14 @@
   const moves: { machine: MachineId; to: ShareNo }[] = [];
   const moved = new Set<MachineId>();
   const unmet: { g: DemandGroup; left: number }[] = [];
-  for (const g of input.demand) {
+  const shapes = distinctNeeds(input.demand.map((g) => g.needs));
+  const rivals = (t: MachineType): number => contenders(t.capacity, shapes);
+  // Needs that few types can serve choose first, and each fills what fewest others could use.
+  const choices = (g: DemandGroup): number =>
+    input.types.filter((t) => fits(g.needs, t.capacity)).length;
+  const demand = [...input.demand].sort((a, b) => choices(a) - choices(b));
+  rooms.sort((a, b) => rivals(a.m.type) - rivals(b.m.type));
+  for (const g of demand) {
     const extra = Math.max(0, g.wanted);
     const own = rooms.filter((r) => r.m.share === g.share && !moved.has(r.m.id));
     const left = fill(g, extra, own);
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -15,6 +15,7 @@
   readonly price: number;
   readonly fetchGbPerS: number;
   readonly images: ReadonlySet<string>;
+  readonly contenders: number;
 }
 
 /** Where a job's other open attempts stand, as `oneZone` and `apart` judge them. */
@@ -38,8 +39,22 @@
 };
 
 /**
- * The feasible machine with the lowest p after; ties go to a cached image, then to the lowest
- * price. Null if none has room.
+ * How many of the needs that are about a machine of this capacity could serve. Types that few can
+ * use are filled first, or tasks that fit nowhere else find the large machines full of small ones.
+ */
+export const contenders = (capacity: Resources, shapes: readonly Resources[]): number =>
+  shapes.filter((needs) => fits(needs, capacity)).length;
+
+/** The distinct needs among these. */
+export const distinctNeeds = (all: Iterable<Resources>): readonly Resources[] => {
+  const out = new Map<string, Resources>();
+  for (const n of all) out.set(`${n.cpus}|${n.gpus}|${n.ramGb}`, n);
+  return [...out.values()];
+};
+
+/**
+ * The feasible machine that the fewest other needs could use, of those the one with the lowest p
+ * after; ties go to a cached image, then to the lowest price. Null if none has room.
  */
 export const choosePlace = (
   spec: JobSpec,
@@ -49,6 +64,7 @@
   let best: Place | null = null;
   let bestP = 0;
   for (const place of places) {
+    if (best !== null && place.contenders > best.contenders) continue;
     if (!fits(spec.needs, minus(place.capacity, place.use))) continue;
     if (!permitted(spec, place, zones)) continue;
     const p = pheromone(
@@ -56,7 +72,7 @@
       place.capacity,
       leastNeed([...place.needs.map((needs) => ({ needs })), { needs: spec.needs }]),
     );
-    if (best === null || p < bestP - 1e-9) {
+    if (best === null || place.contenders < best.contenders || p < bestP - 1e-9) {
       best = place;
       bestP = p;
       continue;
