--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -26,6 +26,7 @@
 import {
   type DemandGroup,
   type FleetMachine,
+  type FleetPlan,
   offerKey,
   planFleet,
   type Rent,
@@ -41,6 +42,7 @@
   type MachineRecord,
   machineValue,
   typesValue,
+  waitingCount,
 } from "../storage/records.js";
 import type { Caller } from "../transport/client.js";
 import type { Holder } from "./holder.js";
@@ -383,11 +385,36 @@
       idleReturnS: operators.idleReturnS,
       maxRents: MAX_RENT,
       lifeS: operators.lifeS,
+      size: settings.size,
     });
+    if (this.ctx.log.enabled("debug")) this.#logPlan(machines, plan);
     await this.#ask(plan.moves, plan.returns);
     await this.#intend(plan.rents);
   }
 
+  #logPlan(machines: readonly FleetMachine[], plan: FleetPlan): void {
+    const { replica } = this.ctx;
+    for (const share of replica.shares.keys()) {
+      const own = machines.filter((m) => m.share === share);
+      const jobs = [...replica.jobs.values()].filter(
+        ({ value: j }) => replica.teams?.value.get(j.spec.team) === share,
+      );
+      const cpus = (some: readonly FleetMachine[]): number =>
+        some.reduce((n, m) => n + m.type.capacity.cpus, 0);
+      this.ctx.log.debug("plan", {
+        share,
+        upCpus: cpus(own.filter((m) => m.up)),
+        bootingCpus: cpus(own.filter((m) => !m.up)),
+        usedCpus: own.reduce((n, m) => n + m.use.cpus, 0),
+        emptyCpus: cpus(own.filter((m) => m.up && m.open === 0)),
+        waitingCpus: jobs.reduce((n, { value: j }) => n + waitingCount(j) * j.spec.needs.cpus, 0),
+        levels: [...this.#levels].map(([key, n]) => `${key.split("|")[0]}=${n.toFixed(1)}`),
+        moves: plan.moves.filter((m) => m.to === share).length,
+        rents: plan.rents.flatMap((r) => r.shares).filter((n) => n === share).length,
+      });
+    }
+  }
+
   /** Writes the intents to rent; they are carried out at once, and by any later leader. */
   async #intend(rents: readonly Rent[]): Promise<void> {
     const { replica, settings } = this.ctx;
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -24,14 +24,14 @@
 }
 
 interface Sum {
-  readonly share: ShareNo;
   readonly needs: Resources;
   readonly types: readonly string[] | null;
   readonly zone: string | null;
   readonly spotAllowed: boolean;
   readonly rank: number;
   open: number;
-  waiting: number;
+  readonly waiting: Map<ShareNo, number>;
+  waits: number;
   /** Slots that would see the waiting tasks through in the time their objectives leave. */
   needed: number;
   urgent: boolean;
@@ -52,12 +52,12 @@
     const share = d.shareOf.get(j.spec.team);
     if (share === undefined) continue;
     const { needs, types, zone, spotAllowed, jobClass, rank, team } = j.spec;
-    const shape = [share, jobClass, needs.cpus, needs.gpus, needs.ramGb];
+    const shape = [jobClass, needs.cpus, needs.gpus, needs.ramGb];
     const key = [...shape, types?.join() ?? "*", zone ?? "*", spotAllowed].join("|");
     let e = sums.get(key);
     if (e === undefined) {
-      const base = { share, needs, types, zone, spotAllowed, rank: rankOrder(rank) };
-      e = { ...base, open: 0, waiting: 0, needed: 0, urgent: false };
+      const base = { needs, types, zone, spotAllowed, rank: rankOrder(rank) };
+      e = { ...base, open: 0, waits: 0, waiting: new Map(), needed: 0, urgent: false };
       sums.set(key, e);
     }
     // A team at its limit can't use more room.
@@ -70,17 +70,18 @@
     const patience = patienceS(targets, runS, d.patience);
     if (patience < d.bootS) e.urgent = true;
     e.open += j.open.length;
-    e.waiting += waiting;
+    e.waits += waiting;
+    if (waiting > 0) e.waiting.set(share, (e.waiting.get(share) ?? 0) + waiting);
     e.needed += waiting * Math.min(1, runS / Math.max(runS, patience + runS));
   }
   const levels = new Map<string, number>();
   const ranked: { g: DemandGroup; rank: number }[] = [];
   for (const [key, e] of sums) {
-    const level = e.urgent ? e.open + e.waiting : e.open + e.needed;
+    const level = e.urgent ? e.open + e.waits : e.open + e.needed;
     const seen = follow(d.levels.get(key) ?? level, level, d.dtS, d.riseS, d.fallS);
     levels.set(key, seen);
     const want = e.urgent ? seen * (1 + d.headroom) : seen;
-    const { open, needed, urgent, rank, ...g } = e;
+    const { open, needed, urgent, waits, rank, ...g } = e;
     ranked.push({ g: { ...g, wanted: Math.max(0, Math.ceil(want) - open) }, rank });
   }
   ranked.sort((a, b) => a.rank - b.rank);
--- a/src/scheduling/fleet.ts
+++ b/src/scheduling/fleet.ts
@@ -1,20 +1,19 @@
 import type { MachineType } from "../protocol/cloud.js";
-import type { MachineId, ShareNo } from "../protocol/ids.js";
+import { type MachineId, type ShareNo, shareNo } from "../protocol/ids.js";
 import type { Resources } from "../protocol/jobs.js";
 import { contenders, distinctNeeds } from "./placement.js";
 import { fits, minus, slots } from "./resources.js";
 
-/** Tasks that are alike for renting: same share, need and allowed machines. */
+/** Tasks that are alike for renting: the same need and the same allowed machines. */
 export interface DemandGroup {
-  readonly share: ShareNo;
   readonly needs: Resources;
   readonly types: readonly string[] | null;
   readonly zone: string | null;
   readonly spotAllowed: boolean;
-  /** Tasks for which there should be room at once, those running now among them. */
+  /** Tasks for which there should be room in all, beside those running now. */
   readonly wanted: number;
-  /** Of these, tasks that wait now. */
-  readonly waiting: number;
+  /** Tasks that wait now, by share. */
+  readonly waiting: ReadonlyMap<ShareNo, number>;
 }
 
 export interface FleetMachine {
@@ -57,6 +56,8 @@
   readonly maxRents: number;
   /** How long a rented machine is kept, on the whole: what its boot costs is spread over that. */
   readonly lifeS: number;
+  /** How many shares there are. */
+  readonly size: number;
 }
 
 export const offerKey = (type: string, zone: string, spot: boolean): string =>
@@ -121,59 +122,84 @@
   return best;
 };
 
+/** Lays the waiting tasks of each share over its own machines, then over idle ones of others. */
+const planMoves = (
+  demand: readonly DemandGroup[],
+  rooms: readonly Room[],
+): {
+  readonly moves: readonly { readonly machine: MachineId; readonly to: ShareNo }[];
+  readonly short: ReadonlyMap<ShareNo, number>;
+} => {
+  const short = new Map<ShareNo, number>();
+  const unmet: { g: DemandGroup; share: ShareNo; left: number }[] = [];
+  for (const g of demand)
+    for (const [share, n] of g.waiting) {
+      const own = rooms.filter((r) => r.m.share === share);
+      const left = fill(g, n, own);
+      if (left > 0) unmet.push({ g, share, left });
+    }
+  const moves: { machine: MachineId; to: ShareNo }[] = [];
+  const moved = new Set<MachineId>();
+  for (const u of unmet) {
+    let left = u.left;
+    for (const r of rooms) {
+      if (left === 0) break;
+      if (r.m.share === u.share || !r.m.up || r.m.open > 0 || r.taken > 0) continue;
+      if (moved.has(r.m.id)) continue;
+      left = fill(u.g, left, [r]);
+      if (r.taken === 0) continue;
+      moves.push({ machine: r.m.id, to: u.share });
+      moved.add(r.m.id);
+    }
+    if (left > 0) short.set(u.share, (short.get(u.share) ?? 0) + left);
+  }
+  return { moves, short };
+};
+
 /**
- * What to rent, move and return. Demand is laid over the machines there are, up and booting, own
- * share first, then idle ones of other shares (moved), and what is left over is rented.
+ * What to rent, move and return. Shares divide the machines, but not the forecast: an idle machine
+ * goes wherever tasks wait, so only what all of them together lack is rented, and only what none
+ * of them wants is returned.
  */
 export const planFleet = (input: FleetInput): FleetPlan => {
-  const rooms: Room[] = input.machines.map((m) => ({
-    m,
-    free: minus(m.type.capacity, m.use),
-    taken: 0,
-  }));
-  // Cheap and full ones first, so that the dear and the empty are left to be moved or returned.
+  const shapes = distinctNeeds(input.demand.map((g) => g.needs));
+  const rivals = new Map(input.types.map((t) => [t.name, contenders(t.capacity, shapes)]));
   const dear = (m: FleetMachine): number =>
     (m.spot ? m.type.spotPrice : m.type.price) / Math.max(1, m.type.capacity.cpus);
-  rooms.sort((a, b) => dear(a.m) - dear(b.m) || b.m.open - a.m.open || a.m.idleS - b.m.idleS);
-  const moves: { machine: MachineId; to: ShareNo }[] = [];
-  const moved = new Set<MachineId>();
-  const unmet: { g: DemandGroup; left: number }[] = [];
-  const shapes = distinctNeeds(input.demand.map((g) => g.needs));
-  const rivals = (t: MachineType): number => contenders(t.capacity, shapes);
-  // Needs that few types can serve choose first, and each fills what fewest others could use.
+  const makeRooms = (): Room[] => {
+    const rooms = input.machines.map((m) => ({
+      m,
+      free: minus(m.type.capacity, m.use),
+      taken: 0,
+    }));
+    // What fewest needs could use first; then the cheap and the full, so that the dear and the
+    // empty are left to be returned.
+    return rooms.sort(
+      (a, b) =>
+        (rivals.get(a.m.type.name) ?? 0) - (rivals.get(b.m.type.name) ?? 0) ||
+        dear(a.m) - dear(b.m) ||
+        b.m.open - a.m.open ||
+        a.m.idleS - b.m.idleS,
+    );
+  };
+  // Needs that few types can serve choose first.
   const choices = (g: DemandGroup): number =>
     input.types.filter((t) => fits(g.needs, t.capacity)).length;
   const demand = [...input.demand].sort((a, b) => choices(a) - choices(b));
-  rooms.sort((a, b) => rivals(a.m.type) - rivals(b.m.type));
-  for (const g of demand) {
-    const extra = Math.max(0, g.wanted);
-    const own = rooms.filter((r) => r.m.share === g.share && !moved.has(r.m.id));
-    const left = fill(g, extra, own);
-    if (left > 0) unmet.push({ g, left });
-  }
+  const { moves, short } = planMoves(demand, makeRooms());
+  const moved = new Set(moves.map((m) => m.machine));
+
+  const rooms = makeRooms();
   const asked = new Map<string, number>();
   for (const m of input.machines) {
     const key = offerKey(m.type.name, m.zone, m.spot);
     asked.set(key, (asked.get(key) ?? 0) + 1);
   }
+  const assign = shareAssigner(input, short);
   const rents = new Map<string, Rent>();
   let total = 0;
-  for (const { g, left } of unmet) {
-    let rest = left;
-    let waiting = Math.min(left, g.waiting);
-    for (const r of rooms) {
-      if (rest <= 0) break;
-      if (r.m.share === g.share || r.taken > 0 || r.m.open > 0 || moved.has(r.m.id)) continue;
-      const before = r.taken;
-      rest = fill(g, rest, [r]);
-      if (r.taken === before) continue;
-      // Moved only for tasks that wait now: a forecast alone is no reason to shuffle machines.
-      if (r.m.up && waiting > 0) {
-        moves.push({ machine: r.m.id, to: g.share });
-        waiting -= r.taken;
-      }
-      moved.add(r.m.id);
-    }
+  for (const g of demand) {
+    let rest = fill(g, Math.max(0, g.wanted), rooms);
     while (rest > 0 && total < input.maxRents) {
       const offer = bestOffer(g, input, asked);
       if (offer === undefined) break;
@@ -184,7 +210,7 @@
         type: offer.type.name,
         zone: offer.zone,
         spot: offer.spot,
-        shares: [...(r?.shares ?? []), g.share],
+        shares: [...(r?.shares ?? []), assign(offer.type.capacity.cpus, offer.perMachine)],
       });
       total++;
       rest -= offer.perMachine;
@@ -197,6 +223,32 @@
   return { rents: [...rents.values()], moves, returns };
 };
 
+/** New machines go to the share that lacks most, and else to the one that has least. */
+const shareAssigner = (
+  input: FleetInput,
+  short: ReadonlyMap<ShareNo, number>,
+): ((cpus: number, slots: number) => ShareNo) => {
+  const lacks = new Map(short);
+  const has = new Map<ShareNo, number>();
+  for (let n = 0; n < input.size; n++) has.set(shareNo(n), 0);
+  for (const m of input.machines) has.set(m.share, (has.get(m.share) ?? 0) + m.type.capacity.cpus);
+  return (cpus, perMachine) => {
+    let to = shareNo(0);
+    let most = Number.NEGATIVE_INFINITY;
+    for (const [n, owned] of has) {
+      const lack = lacks.get(n) ?? 0;
+      const score = lack > 0 ? lack : -owned;
+      if (score > most) {
+        most = score;
+        to = n;
+      }
+    }
+    lacks.set(to, (lacks.get(to) ?? 0) - perMachine);
+    has.set(to, (has.get(to) ?? 0) + cpus);
+    return to;
+  };
+};
+
 /** A level that follows what it sees, upwards and downwards each at its own pace. */
 export const follow = (
   old: number,
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -43,13 +43,12 @@
   ...over,
 });
 const group = (share: number, wanted: number, over: Partial<DemandGroup> = {}): DemandGroup => ({
-  share: shareNo(share),
   needs: { cpus: 4, gpus: 0, ramGb: 14 },
   types: null,
   zone: null,
   spotAllowed: true,
   wanted,
-  waiting: wanted,
+  waiting: new Map([[shareNo(share), wanted]]),
   ...over,
 });
 
@@ -89,11 +88,17 @@
     want: { moves: ["m>0"] },
   },
   {
-    name: "a busy one is not",
-    machines: [machine("m", 1, { open: 1, use: { cpus: 4, gpus: 0, ramGb: 14 } })],
-    demand: [group(0, 1)],
+    name: "a busy one is not, nor one that its own share's tasks wait for",
+    machines: [machine("m", 1, { open: 1, use: { cpus: 4, gpus: 0, ramGb: 14 } }), machine("n", 1)],
+    demand: [group(1, 3), group(0, 1)],
     want: { rents: ["small b spot 1 >0"] },
   },
+  {
+    name: "a forecast of its own share keeps no idle machine from tasks that wait elsewhere",
+    machines: [machine("m", 1)],
+    demand: [group(1, 2, { waiting: new Map() }), group(0, 2)],
+    want: { rents: ["small b spot 1 >0"], moves: ["m>0"] },
+  },
   {
     name: "what nobody wants is returned, but only after a while",
     machines: [machine("m", 0), machine("n", 0, { idleS: 3 })],
@@ -102,7 +107,7 @@
   {
     name: "of two, the dear one goes",
     machines: [machine("m", 0, { spot: false }), machine("n", 0)],
-    demand: [group(0, 2, { waiting: 0 })],
+    demand: [group(0, 2, { waiting: new Map() })],
     want: { returns: ["m"] },
   },
 ];
@@ -117,6 +122,7 @@
       idleReturnS: 20,
       maxRents: 50,
       lifeS: 300,
+      size: 2,
     });
     assert.deepEqual(
       p.rents.map(
