--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -72,12 +72,15 @@
     e.open += j.open.length;
     e.waits += waiting;
     if (waiting > 0) e.waiting.set(share, (e.waiting.get(share) ?? 0) + waiting);
-    e.needed += waiting * Math.min(1, runS / Math.max(runS, patience + runS));
+    // Work left, over the time there is for it. The running are half done on the whole.
+    const window = Math.max(patience, 1e-3);
+    e.needed += waiting * Math.min(1, runS / window);
+    e.needed += j.open.length * Math.min(1, runS / 2 / window);
   }
   const levels = new Map<string, number>();
   const ranked: { g: DemandGroup; rank: number }[] = [];
   for (const [key, e] of sums) {
-    const level = e.urgent ? e.open + e.waits : e.open + e.needed;
+    const level = e.urgent ? e.open + e.waits : e.needed;
     const seen = follow(d.levels.get(key) ?? level, level, d.dtS, d.riseS, d.fallS);
     levels.set(key, seen);
     const want = e.urgent ? seen * (1 + d.headroom) : seen;
