--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -16,6 +16,7 @@
   token,
 } from "../protocol/ids.js";
 import { type JobSpec, type Resources, rankOrder } from "../protocol/jobs.js";
+import type { MoveRequest } from "../protocol/peer.js";
 import type { Condition, Op } from "../protocol/store.js";
 import {
   beatAnswer,
@@ -170,7 +171,7 @@
         failedJobs: new Set(),
         failures: 0,
         retire: null,
-        moveToShare: null,
+        move: null,
         directBusy: false,
         directAgain: false,
         calledAt: mono(0),
@@ -356,8 +357,11 @@
 
   // ---- Requests of the leader ---------------------------------------------------------------
 
-  requestMove(id: MachineId, to: ShareNo): void {
-    if (this.#sessions.has(id)) this.#note(id).moveToShare = to;
+  requestMove(m: MoveRequest): void {
+    if (!this.#sessions.has(m.machine)) return;
+    const until = mono(steadyNow() + MOVE_MS);
+    this.#note(m.machine).move = { to: m.to, vacate: m.vacate, until };
+    this.wake();
   }
 
   requestRetire(id: MachineId): void {
@@ -387,6 +391,7 @@
     for (const [task, x] of this.#incoming) if (x.until <= now) this.#incoming.delete(task);
     this.#heedNotices(now);
     this.#heedCancels();
+    this.#vacate(now);
     if (now - this.#swarmAt >= ctx.operators.swarmPeriodS * 1000) {
       this.#swarmAt = now;
       for (const share of held) this.#swarm(share, now);
@@ -481,6 +486,22 @@
     }
   }
 
+  /** Machines that the leader wants for urgent work of another share are cleared for it. */
+  #vacate(now: Mono): void {
+    const { replica } = this.ctx;
+    for (const [id, note] of this.#machines) {
+      if (note.move === null) continue;
+      if (note.move.until <= now) note.move = null;
+      else if (note.move.vacate)
+        for (const [task, o] of replica.openOn(id)) {
+          const saveS = replica.jobs.get(o.job)?.value.spec.saveS ?? 0;
+          const key = attemptKey(task, o.attempt);
+          if (!this.#attempts.get(key)?.stop) this.counters.preempted++;
+          this.#stop(key, id, "preempted", saveS);
+        }
+    }
+  }
+
   /** Every task of a cancelled job must be gone in time, if need be with its machine. */
   #heedCancels(): void {
     const { replica, settings } = this.ctx;
@@ -774,10 +795,10 @@
       this.ctx.log.info("machine retired", { machine: id, reason: note.retire.reason });
       return { ...m.value, stage: "retiring" };
     }
-    if (note.moveToShare !== null) {
-      const to = note.moveToShare as ShareNo;
-      note.moveToShare = null;
+    if (note.move !== null) {
+      const { to, vacate } = note.move;
       const proved = empty && s.tasks.size === 0 && (s.state === "ready" || s.report === undefined);
+      if (proved || !vacate) note.move = null;
       if (proved && to !== m.value.share)
         return { ...m.value, share: to, endpoint: s.report?.endpoint ?? m.value.endpoint };
     }
@@ -824,7 +845,7 @@
       }
       const s = this.#sessions.get(id);
       if (s === undefined || s.state !== "ready" || m.value.stage !== "up") continue;
-      if (note.retire !== null || s.report?.noticeS != null) continue;
+      if (note.retire !== null || note.move !== null || s.report?.noticeS != null) continue;
       if (batch.conditions.has(keys.machine(id))) continue;
       out.set(id, {
         id,
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -19,7 +19,8 @@
   steadyNow,
   timeOfDay,
 } from "../protocol/ids.js";
-import { encodePeer } from "../protocol/peer.js";
+import { rankOrder } from "../protocol/jobs.js";
+import { encodePeer, type MoveRequest } from "../protocol/peer.js";
 import type { Op, Txn } from "../protocol/store.js";
 import type { Report } from "../protocol/workers.js";
 import { demandOf } from "../scheduling/demand.js";
@@ -47,11 +48,14 @@
 import type { Caller } from "../transport/client.js";
 import type { Holder } from "./holder.js";
 import type { Membership } from "./membership.js";
+import { attemptKey } from "./session.js";
 
 const CLOUD_MS = 5000;
 const PEER_MS = 1000;
 const TYPES_EVERY_MS = 60_000;
 const LIST_EVERY_MS = 15_000;
+/** How long a machine may take to be vacated before another is asked for. */
+const VACATE_MS = 6000;
 
 /** The leader's work: all calls of the cloud, and which share a free machine serves. */
 export class Leader {
@@ -60,12 +64,15 @@
   readonly #idleSince = new Map<MachineId, Mono>();
   #levels: ReadonlyMap<string, number> = new Map();
   readonly #returned = new Set<MachineId>();
+  /** When each open attempt was first seen in the records. */
+  #openSince: ReadonlyMap<string, Mono> = new Map();
+  /** Machines asked to be vacated: they count as their new share's until that has failed. */
+  readonly #vacating = new Map<MachineId, { readonly to: ShareNo; readonly until: Mono }>();
   #typesAt: Mono = mono(Number.NEGATIVE_INFINITY);
   #listAt: Mono = mono(Number.NEGATIVE_INFINITY);
   #plannedAt: Mono = steadyNow();
   #names = 0;
-  #busy = false;
-  readonly counters = { rented: 0, refused: 0, returned: 0, moved: 0, adopted: 0 };
+  readonly counters = { rented: 0, refused: 0, returned: 0, moved: 0, vacated: 0, adopted: 0 };
 
   constructor(
     private readonly ctx: Context,
@@ -94,18 +101,13 @@
     return false;
   }
 
-  async tick(): Promise<void> {
-    if (this.#busy || !this.ctx.synced || !this.membership.leads()) return;
-    this.#busy = true;
-    try {
-      await this.#returnMachines();
-      await this.#readTypes();
-      await this.#hire();
-      await this.#list();
-      await this.#plan();
-    } finally {
-      this.#busy = false;
-    }
+  /** All that waits for the cloud, apart from planning: it may take seconds in an outage. */
+  async callCloud(): Promise<void> {
+    if (!this.ctx.synced || !this.membership.leads()) return;
+    await this.#returnMachines();
+    await this.#readTypes();
+    await this.#hire();
+    await this.#list();
   }
 
   async #cloudCall(method: string, path: string, body?: unknown) {
@@ -334,25 +336,46 @@
     return d.groups;
   }
 
-  async #plan(): Promise<void> {
+  async plan(): Promise<void> {
     const { replica, operators, settings } = this.ctx;
     const types = replica.types?.value;
+    if (!this.ctx.synced || !this.membership.leads()) return;
     if (types === undefined || replica.teams === undefined) return;
     const now = steadyNow();
     const dtS = (now - this.#plannedAt) / 1000;
     this.#plannedAt = now;
     const machines: FleetMachine[] = [];
     const late: MachineId[] = [];
+    const owed = owedJobs(
+      [...replica.jobs].map(([id, j]) => [id, j.value] as const),
+      this.ctx.teams,
+    );
+    const seen = new Map<string, Mono>();
     for (const [id, m] of replica.machines) {
       const type = this.#type(m.value.type);
       if (m.value.stage !== "up" || type === undefined) continue;
       const open = replica.openOn(id);
       if (open.size > 0) this.#idleSince.delete(id);
       else if (!this.#idleSince.has(id)) this.#idleSince.set(id, now);
+      const vacated = this.#vacating.get(id);
+      if (vacated !== undefined && (vacated.until <= now || m.value.share === vacated.to))
+        this.#vacating.delete(id);
+      const given = this.#vacating.get(id)?.to;
       let use = NOTHING;
-      for (const o of open.values()) {
+      const tasks: FleetMachine["tasks"][number][] = [];
+      for (const [task, o] of open) {
         const job = replica.jobs.get(o.job)?.value;
-        if (job !== undefined) use = plus(use, job.spec.needs);
+        if (job === undefined || given !== undefined) continue;
+        use = plus(use, job.spec.needs);
+        const key = attemptKey(task, o.attempt);
+        const since = this.#openSince.get(key) ?? now;
+        seen.set(key, since);
+        const ranS = (now - since) / 1000;
+        const { checkpointS, saveS, needs } = job.spec;
+        const lossS = checkpointS > 0 ? saveS : ranS;
+        // What a team is owed is not for the leader to take away.
+        const rank = owed.has(o.job) ? -1 : rankOrder(job.spec.rank);
+        tasks.push({ rank, needs, lossS });
       }
       const heldS = Math.max(0, (timeOfDay() - m.value.rentedAt) / 1000);
       const up = m.value.endpoint !== "";
@@ -362,19 +385,21 @@
       }
       machines.push({
         id,
-        share: m.value.share,
+        share: given ?? m.value.share,
         type,
         zone: m.value.zone,
         spot: m.value.spot,
         up,
         use,
-        open: open.size,
+        open: given === undefined ? open.size : 0,
+        tasks,
         idleS: (now - (this.#idleSince.get(id) ?? now)) / 1000,
         heldS,
       });
     }
     for (const id of [...this.#idleSince.keys()])
       if (!replica.machines.has(id)) this.#idleSince.delete(id);
+    this.#openSince = seen;
     for (const id of late) await this.#retire(id, "never booted");
     for (const [key, until] of this.#refusedUntil) if (until <= now) this.#refusedUntil.delete(key);
     const plan = planFleet({
@@ -388,6 +413,8 @@
       size: settings.size,
     });
     if (this.ctx.log.enabled("debug")) this.#logPlan(machines, plan);
+    for (const m of plan.moves)
+      if (m.vacate) this.#vacating.set(m.machine, { to: m.to, until: mono(now + VACATE_MS) });
     await this.#ask(plan.moves, plan.returns);
     await this.#intend(plan.rents);
   }
@@ -434,16 +461,13 @@
         value: hireValue({ ...x.r, at: timeOfDay() }),
       })),
     });
-    if (done) await this.#hire();
+    if (done) this.ctx.log.debug("hires written", { hires: some.length });
   }
 
   /** Moves and returns are the holder's to carry out: it alone knows that a machine is free. */
-  async #ask(
-    moves: readonly { readonly machine: MachineId; readonly to: ShareNo }[],
-    returns: readonly MachineId[],
-  ): Promise<void> {
+  async #ask(moves: readonly MoveRequest[], returns: readonly MachineId[]): Promise<void> {
     const { replica, settings, me } = this.ctx;
-    const byHolder = new Map<string, { moves: (typeof moves)[number][]; retire: MachineId[] }>();
+    const byHolder = new Map<string, { moves: MoveRequest[]; retire: MachineId[] }>();
     const entry = (id: MachineId) => {
       const share = replica.machines.get(id)?.value.share;
       const label = share === undefined ? undefined : this.membership.holderOf(share)?.label;
@@ -454,10 +478,10 @@
     };
     for (const m of moves) entry(m.machine)?.moves.push(m);
     for (const id of returns) entry(id)?.retire.push(id);
-    this.counters.moved += moves.length;
+    for (const m of moves) this.counters[m.vacate ? "vacated" : "moved"]++;
     for (const [label, e] of byHolder) {
       if (label === me.label) {
-        for (const m of e.moves) this.holder.requestMove(m.machine, m.to);
+        for (const m of e.moves) this.holder.requestMove(m);
         for (const id of e.retire) this.holder.requestRetire(id);
         continue;
       }
--- a/src/coordination/notes.ts
+++ b/src/coordination/notes.ts
@@ -1,4 +1,4 @@
-import type { JobId, MachineId, Mono } from "../protocol/ids.js";
+import type { JobId, MachineId, Mono, ShareNo } from "../protocol/ids.js";
 
 /**
  * What a holder remembers beside the records. All of it may be lost with the process: it steers
@@ -28,7 +28,8 @@
   failures: number;
   /** Returned once its open attempts are closed, or at once if `force`. */
   retire: { readonly reason: string; readonly force: boolean } | null;
-  moveToShare: number | null;
+  /** A share that the leader wants it for. */
+  move: { readonly to: ShareNo; readonly vacate: boolean; readonly until: Mono } | null;
   directBusy: boolean;
   directAgain: boolean;
   /** The last time a call of ours was sent there. */
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -1,17 +1,28 @@
 import protobuf from "protobufjs/light.js";
 import { type MachineId, machineId, type ShareNo, shareNo } from "./ids.js";
 
+/** `vacate`: stop what of lower rank runs there first. */
+export interface MoveRequest {
+  readonly machine: MachineId;
+  readonly to: ShareNo;
+  readonly vacate: boolean;
+}
+
 /** What the leader asks of a share's holder. Hints only: all that must hold is in the state service. */
 export interface PeerMessage {
   readonly from: string;
-  readonly moves: readonly { readonly machine: MachineId; readonly to: ShareNo }[];
+  readonly moves: readonly MoveRequest[];
   readonly retire: readonly MachineId[];
 }
 
 const root = protobuf.Root.fromJSON({
   nested: {
     Move: {
-      fields: { machine: { type: "string", id: 1 }, to: { type: "uint32", id: 2 } },
+      fields: {
+        machine: { type: "string", id: 1 },
+        to: { type: "uint32", id: 2 },
+        vacate: { type: "bool", id: 3 },
+      },
     },
     PeerMessage: {
       fields: {
@@ -31,12 +42,16 @@
 export const decodePeer = (bytes: Uint8Array): PeerMessage => {
   const o = Message.toObject(Message.decode(bytes), { defaults: true, arrays: true }) as {
     from: string;
-    moves: { machine: string; to: number }[];
+    moves: { machine: string; to: number; vacate: boolean }[];
     retire: string[];
   };
   return {
     from: o.from,
-    moves: o.moves.map((m) => ({ machine: machineId(m.machine), to: shareNo(m.to) })),
+    moves: o.moves.map((m) => ({
+      machine: machineId(m.machine),
+      to: shareNo(m.to),
+      vacate: m.vacate,
+    })),
     retire: o.retire.map(machineId),
   };
 };
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -84,8 +84,8 @@
     const seen = follow(d.levels.get(key) ?? level, level, d.dtS, d.riseS, d.fallS);
     levels.set(key, seen);
     const want = e.urgent ? seen * (1 + d.headroom) : seen;
-    const { open, needed, urgent, waits, rank, ...g } = e;
-    ranked.push({ g: { ...g, wanted: Math.max(0, Math.ceil(want) - open) }, rank });
+    const { open, needed, waits, ...g } = e;
+    ranked.push({ g: { ...g, wanted: Math.max(0, Math.ceil(want) - open) }, rank: e.rank });
   }
   ranked.sort((a, b) => a.rank - b.rank);
   return { groups: ranked.map((r) => r.g), levels };
--- a/src/scheduling/fleet.ts
+++ b/src/scheduling/fleet.ts
@@ -1,8 +1,9 @@
 import type { MachineType } from "../protocol/cloud.js";
 import { type MachineId, type ShareNo, shareNo } from "../protocol/ids.js";
 import type { Resources } from "../protocol/jobs.js";
+import type { MoveRequest } from "../protocol/peer.js";
 import { contenders, distinctNeeds } from "./placement.js";
-import { fits, minus, slots } from "./resources.js";
+import { fits, minus, plus, slots } from "./resources.js";
 
 /** Tasks that are alike for renting: the same need and the same allowed machines. */
 export interface DemandGroup {
@@ -14,6 +15,9 @@
   readonly wanted: number;
   /** Tasks that wait now, by share. */
   readonly waiting: ReadonlyMap<ShareNo, number>;
+  readonly rank: number;
+  /** Its objectives leave no time to wait for a boot. */
+  readonly urgent: boolean;
 }
 
 export interface FleetMachine {
@@ -26,6 +30,12 @@
   readonly up: boolean;
   readonly use: Resources;
   readonly open: number;
+  /** What stands there: its rank, its need, and what stopping it would throw away. */
+  readonly tasks: readonly {
+    readonly rank: number;
+    readonly needs: Resources;
+    readonly lossS: number;
+  }[];
   /** How long nothing has stood on it. */
   readonly idleS: number;
   readonly heldS: number;
@@ -41,7 +51,7 @@
 
 export interface FleetPlan {
   readonly rents: readonly Rent[];
-  readonly moves: readonly { readonly machine: MachineId; readonly to: ShareNo }[];
+  readonly moves: readonly MoveRequest[];
   readonly returns: readonly MachineId[];
 }
 
@@ -67,6 +77,8 @@
   readonly m: FleetMachine;
   free: Resources;
   taken: number;
+  moved: boolean;
+  readonly yielded: Set<FleetMachine["tasks"][number]>;
 }
 
 const allows = (
@@ -122,37 +134,72 @@
   return best;
 };
 
-/** Lays the waiting tasks of each share over its own machines, then over idle ones of others. */
+interface Short {
+  readonly g: DemandGroup;
+  readonly share: ShareNo;
+  left: number;
+}
+
+/** What of a machine's tasks a group may stop counts as free for it from here on. */
+const yieldTo = (g: DemandGroup, r: Room): void => {
+  for (const t of r.m.tasks)
+    if (t.rank > g.rank && !r.yielded.has(t)) {
+      r.free = plus(r.free, t.needs);
+      r.yielded.add(t);
+    }
+};
+
+/** Gives whole machines of other shares to what is short, in this order of preference. */
+const take = (short: readonly Short[], rooms: readonly Room[], vacate: boolean): MoveRequest[] => {
+  const out: MoveRequest[] = [];
+  for (const u of short) {
+    if (vacate && !u.g.urgent) continue;
+    const lossS = (r: Room): number => r.m.tasks.reduce((n, t) => n + t.lossS, 0);
+    const others = rooms.filter(
+      (r) => r.m.share !== u.share && r.m.up && !r.moved && r.taken === 0 && r.yielded.size === 0,
+    );
+    const candidates = vacate
+      ? others.filter((r) => r.m.open > 0 && r.m.tasks.every((t) => t.rank > u.g.rank))
+      : others.filter((r) => r.m.open === 0);
+    if (vacate) candidates.sort((a, b) => lossS(a) - lossS(b));
+    for (const r of candidates) {
+      if (u.left === 0) break;
+      if (vacate) yieldTo(u.g, r);
+      u.left = fill(u.g, u.left, [r]);
+      if (r.taken === 0) continue;
+      r.moved = true;
+      out.push({ machine: r.m.id, to: u.share, vacate });
+    }
+  }
+  return out;
+};
+
+/**
+ * Lays the waiting tasks of each share over its own machines, then over idle ones of others, and
+ * the urgent also over machines of others that hold only work of lower rank. Within its own share
+ * a holder preempts by itself.
+ */
 const planMoves = (
   demand: readonly DemandGroup[],
   rooms: readonly Room[],
 ): {
-  readonly moves: readonly { readonly machine: MachineId; readonly to: ShareNo }[];
+  readonly moves: readonly MoveRequest[];
   readonly short: ReadonlyMap<ShareNo, number>;
 } => {
-  const short = new Map<ShareNo, number>();
-  const unmet: { g: DemandGroup; share: ShareNo; left: number }[] = [];
-  for (const g of demand)
+  const unmet: Short[] = [];
+  for (const g of [...demand].sort((a, b) => a.rank - b.rank))
     for (const [share, n] of g.waiting) {
       const own = rooms.filter((r) => r.m.share === share);
-      const left = fill(g, n, own);
+      let left = fill(g, n, own);
+      if (left > 0 && g.urgent) {
+        for (const r of own) yieldTo(g, r);
+        left = fill(g, left, own);
+      }
       if (left > 0) unmet.push({ g, share, left });
     }
-  const moves: { machine: MachineId; to: ShareNo }[] = [];
-  const moved = new Set<MachineId>();
-  for (const u of unmet) {
-    let left = u.left;
-    for (const r of rooms) {
-      if (left === 0) break;
-      if (r.m.share === u.share || !r.m.up || r.m.open > 0 || r.taken > 0) continue;
-      if (moved.has(r.m.id)) continue;
-      left = fill(u.g, left, [r]);
-      if (r.taken === 0) continue;
-      moves.push({ machine: r.m.id, to: u.share });
-      moved.add(r.m.id);
-    }
-    if (left > 0) short.set(u.share, (short.get(u.share) ?? 0) + left);
-  }
+  const moves = [...take(unmet, rooms, false), ...take(unmet, rooms, true)];
+  const short = new Map<ShareNo, number>();
+  for (const u of unmet) if (u.left > 0) short.set(u.share, (short.get(u.share) ?? 0) + u.left);
   return { moves, short };
 };
 
@@ -171,6 +218,8 @@
       m,
       free: minus(m.type.capacity, m.use),
       taken: 0,
+      moved: false,
+      yielded: new Set<FleetMachine["tasks"][number]>(),
     }));
     // What fewest needs could use first; then the cheap and the full, so that the dear and the
     // empty are left to be returned.
--- a/src/scheduling/preempt.ts
+++ b/src/scheduling/preempt.ts
@@ -56,7 +56,8 @@
   by: { readonly rank: number; readonly owed: boolean; readonly team: string },
   victim: { readonly rank: number; readonly owed: boolean; readonly team: string },
 ): boolean => {
-  if (victim.rank > by.rank) return true;
+  // PROTOCOL lets rank alone decide; what a team is owed is spared all the same, but for the owed.
+  if (victim.rank > by.rank) return by.owed || !victim.owed;
   // A team is given its guarantee out of what others run beyond theirs, whatever its rank.
   return by.owed && !victim.owed && victim.team !== by.team;
 };
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -103,7 +103,7 @@
       if (req.method !== "POST") return { status: 405 };
       try {
         const m = decodePeer(req.bytes);
-        for (const x of m.moves) holder.requestMove(x.machine, x.to);
+        for (const x of m.moves) holder.requestMove(x);
         for (const id of m.retire) holder.requestRetire(id);
         wake();
         return { status: 204 };
@@ -194,7 +194,8 @@
         every("membership", 250, () => membership.tend()),
         every("watch", operators.watchPauseMs, follow),
         every("rounds", MIN_ROUND_GAP_MS, rounds),
-        every("fleet", operators.fleetPeriodMs, () => leader.tick()),
+        every("cloud", operators.fleetPeriodMs, () => leader.callCloud()),
+        every("fleet", operators.fleetPeriodMs, () => leader.plan()),
         every("stats", operators.statsPeriodS * 1000, stats),
       ],
       { concurrency: "unbounded" },
--- a/test/codecs.test.ts
+++ b/test/codecs.test.ts
@@ -107,7 +107,7 @@
 test("peer messages", () => {
   const m = {
     from: "loom-1",
-    moves: [{ machine: machineId("m-000001"), to: shareNo(2) }],
+    moves: [{ machine: machineId("m-000001"), to: shareNo(2), vacate: true }],
     retire: [machineId("m-000002")],
   };
   assert.deepEqual(decodePeer(encodePeer(m)), m);
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -38,6 +38,7 @@
   up: true,
   use: { cpus: 0, gpus: 0, ramGb: 0 },
   open: 0,
+  tasks: [],
   idleS: 100,
   heldS: 100,
   ...over,
@@ -47,11 +48,29 @@
   types: null,
   zone: null,
   spotAllowed: true,
+  rank: 1,
+  urgent: false,
   wanted,
   waiting: new Map([[shareNo(share), wanted]]),
   ...over,
 });
 
+/** A machine with tasks of 4 processors, each given as rank and loss. */
+const busy = (
+  id: string,
+  share: number,
+  ...tasks: readonly (readonly [number, number])[]
+): FleetMachine =>
+  machine(id, share, {
+    open: tasks.length,
+    use: { cpus: 4 * tasks.length, gpus: 0, ramGb: 14 * tasks.length },
+    tasks: tasks.map(([rank, lossS]) => ({
+      rank,
+      needs: { cpus: 4, gpus: 0, ramGb: 14 },
+      lossS,
+    })),
+  });
+
 const plans: readonly {
   name: string;
   machines?: readonly FleetMachine[];
@@ -99,6 +118,29 @@
     demand: [group(1, 2, { waiting: new Map() }), group(0, 2)],
     want: { rents: ["small b spot 1 >0"], moves: ["m>0"] },
   },
+  {
+    name: "for urgent work, a machine of others that holds only lower rank, with the least loss",
+    machines: [
+      busy("m", 1, [2, 30]),
+      busy("n", 1, [2, 5]),
+      busy("o", 1, [1, 0]),
+      busy("p", 2, [2, 1], [1, 0]),
+    ],
+    demand: [group(0, 2, { wanted: 0, urgent: true })],
+    want: { moves: ["n>0 vacate"] },
+  },
+  {
+    name: "not while its own share has lower rank to preempt",
+    machines: [busy("m", 1, [2, 5]), busy("n", 0, [2, 30], [2, 30])],
+    demand: [group(0, 2, { wanted: 0, urgent: true })],
+    want: {},
+  },
+  {
+    name: "nor for work that can wait",
+    machines: [busy("m", 1, [2, 5])],
+    demand: [group(0, 2, { wanted: 0 })],
+    want: {},
+  },
   {
     name: "what nobody wants is returned, but only after a while",
     machines: [machine("m", 0), machine("n", 0, { idleS: 3 })],
@@ -133,7 +175,7 @@
       c.name,
     );
     assert.deepEqual(
-      p.moves.map((m) => `${m.machine}>${m.to}`),
+      p.moves.map((m) => `${m.machine}>${m.to}${m.vacate ? " vacate" : ""}`),
       c.want.moves ?? [],
       c.name,
     );
@@ -185,6 +227,8 @@
   boolean,
 ][] = [
   ["a higher rank stops a lower", [1, false, "t"], [2, true, "u"], true],
+  ["but not what its team is owed", [1, false, "t"], [2, true, "u"], false],
+  ["unless it is owed itself", [1, true, "t"], [2, true, "u"], true],
   ["equal rank does not", [1, false, "t"], [1, false, "u"], false],
   ["a guarantee is given from another team's excess", [2, true, "t"], [1, false, "u"], true],
   ["not from what that team is owed itself", [2, true, "t"], [1, true, "u"], false],
