--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -15,6 +15,7 @@
   readonly idleReturnS: number;
   readonly headroom: number;
   readonly patience: number;
+  readonly lastPatience: number;
   readonly riseS: number;
   readonly fallS: number;
   readonly preemptSlackS: number;
@@ -54,8 +55,9 @@
   knob("swarm", "max_loss_s", "swarmMaxLossS", 0, 86_400, 4),
   knob("fleet", "period_ms", "fleetPeriodMs", 50, 60_000, 1000),
   knob("fleet", "idle_return_s", "idleReturnS", 0, 86_400, 25),
-  knob("fleet", "headroom", "headroom", 0, 10, 0.1),
+  knob("fleet", "headroom", "headroom", 0, 10, 0.3),
   knob("fleet", "patience", "patience", 0, 1, 0.3),
+  knob("fleet", "last_patience", "lastPatience", 0, 1, 0.8),
   knob("fleet", "rise_s", "riseS", 0, 86_400, 15),
   knob("fleet", "fall_s", "fallS", 0, 86_400, 60),
   knob("preemption", "slack_s", "preemptSlackS", 0, 86_400, 12),
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -25,6 +25,7 @@
   redirectBody,
   type TaskReport,
 } from "../protocol/workers.js";
+import { slackS, targetsOf } from "../scheduling/objectives.js";
 import { owedJobs, type Queued, queueOrder } from "../scheduling/order.js";
 import {
   choosePlace,
@@ -922,7 +923,12 @@
         if (job === undefined || job.cancelledAt !== null || note?.stop != null) continue;
         const { rank, team, needs, saveS } = job.spec;
         if (!mayPreempt(me, { rank: rankOrder(rank), owed: owed.has(o.job), team })) continue;
-        victims.push({ task: t, needs, lossS: this.#lossS(job, note, now) + saveS });
+        // One that would miss its own objective by a restart is as good as not for the taking.
+        const ageS = (timeOfDay() - job.acceptedAt) / 1000;
+        const targets = targetsOf(job.spec, this.ctx.settings.objectives, owed.has(o.job));
+        const slack = slackS(targets, ageS, this.runS(job.spec));
+        const dear = slack < operators.preemptSlackS ? operators.preemptMaxLossS / 2 : 0;
+        victims.push({ task: t, needs, lossS: this.#lossS(job, note, now) + saveS + dear });
       }
       if (victims.length > 0) grounds.push({ id: p.id, free: minus(p.capacity, p.use), victims });
     }
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -319,6 +319,7 @@
       bootS: Math.min(...(replica.types?.value ?? []).map((t) => t.bootS)),
       headroom: operators.headroom,
       patience: operators.patience,
+      lastPatience: operators.lastPatience,
       riseS: operators.riseS,
       fallS: operators.fallS,
       dtS,
@@ -427,7 +428,9 @@
         usedCpus: own.reduce((n, m) => n + m.use.cpus, 0),
         emptyCpus: cpus(own.filter((m) => m.up && m.open === 0)),
         waitingCpus: jobs.reduce((n, { value: j }) => n + waitingCount(j) * j.spec.needs.cpus, 0),
-        levels: [...this.#levels].map(([key, n]) => `${key.split("|")[0]}=${n.toFixed(1)}`),
+        levels: [...this.#levels].map(
+          ([key, n]) => `${key.split("|")[0]}.${key.split("|").pop()}=${n.toFixed(1)}`,
+        ),
         moves: plan.moves.filter((m) => m.to === share).length,
         rents: plan.rents.flatMap((r) => r.shares).filter((n) => n === share).length,
       });
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -15,7 +15,9 @@
   /** The fastest boot on offer: what must start sooner needs room that is there already. */
   readonly bootS: number;
   readonly headroom: number;
+  /** The part of its spare time that a class should wait at most, and may wait if room is dear. */
   readonly patience: number;
+  readonly lastPatience: number;
   readonly riseS: number;
   readonly fallS: number;
   readonly dtS: number;
@@ -32,7 +34,8 @@
   open: number;
   readonly waiting: Map<ShareNo, number>;
   waits: number;
-  /** Slots that would see the waiting tasks through in the time their objectives leave. */
+  /** Slots that would see its work through in good time, and only just. */
+  wanted: number;
   needed: number;
   urgent: boolean;
 }
@@ -57,7 +60,7 @@
     let e = sums.get(key);
     if (e === undefined) {
       const base = { needs, types, zone, spotAllowed, rank: rankOrder(rank) };
-      e = { ...base, open: 0, waits: 0, waiting: new Map(), needed: 0, urgent: false };
+      e = { ...base, open: 0, waits: 0, waiting: new Map(), wanted: 0, needed: 0, urgent: false };
       sums.set(key, e);
     }
     // A team at its limit can't use more room.
@@ -67,25 +70,37 @@
     teamRoom.set(team, room - (waiting + j.open.length) * needs.cpus);
     const runS = d.runS(j);
     const targets = targetsOf(j.spec, d.objectives, d.owed.has(id));
-    const patience = patienceS(targets, runS, d.patience);
-    if (patience < d.bootS) e.urgent = true;
     e.open += j.open.length;
     e.waits += waiting;
     if (waiting > 0) e.waiting.set(share, (e.waiting.get(share) ?? 0) + waiting);
+    if (patienceS(targets, runS, d.patience) < d.bootS) e.urgent = true;
     // Work left, over the time there is for it. The running are half done on the whole.
-    const window = Math.max(patience, 1e-3);
-    e.needed += waiting * Math.min(1, runS / window);
-    e.needed += j.open.length * Math.min(1, runS / 2 / window);
+    const slotsIn = (windowS: number): number =>
+      waiting * Math.min(1, runS / windowS) + j.open.length * Math.min(1, runS / 2 / windowS);
+    e.wanted += slotsIn(Math.max(1e-3, patienceS(targets, runS, d.patience)));
+    e.needed += slotsIn(Math.max(1e-3, patienceS(targets, runS, d.lastPatience)));
   }
   const levels = new Map<string, number>();
   const ranked: { g: DemandGroup; rank: number }[] = [];
   for (const [key, e] of sums) {
-    const level = e.urgent ? e.open + e.waits : e.needed;
-    const seen = follow(d.levels.get(key) ?? level, level, d.dtS, d.riseS, d.fallS);
-    levels.set(key, seen);
-    const want = e.urgent ? seen * (1 + d.headroom) : seen;
-    const { open, needed, waits, ...g } = e;
-    ranked.push({ g: { ...g, wanted: Math.max(0, Math.ceil(want) - open) }, rank: e.rank });
+    const smooth = (name: string, level: number): number => {
+      const seen = follow(d.levels.get(name) ?? level, level, d.dtS, d.riseS, d.fallS);
+      levels.set(name, seen);
+      return seen;
+    };
+    const all = e.open + e.waits;
+    const needed = smooth(`${key}|needed`, e.urgent ? all : e.needed);
+    const wanted = smooth(`${key}|wanted`, e.urgent ? all : e.wanted);
+    const { open, waits, wanted: _w, needed: _n, ...g } = e;
+    const beside = (n: number): number => Math.max(0, Math.ceil(n) - open);
+    ranked.push({
+      g: {
+        ...g,
+        needed: beside(needed),
+        wanted: beside(e.urgent ? wanted * (1 + d.headroom) : Math.max(wanted, needed)),
+      },
+      rank: e.rank,
+    });
   }
   ranked.sort((a, b) => a.rank - b.rank);
   return { groups: ranked.map((r) => r.g), levels };
--- a/src/scheduling/fleet.ts
+++ b/src/scheduling/fleet.ts
@@ -11,8 +11,10 @@
   readonly types: readonly string[] | null;
   readonly zone: string | null;
   readonly spotAllowed: boolean;
-  /** Tasks for which there should be room in all, beside those running now. */
+  /** Tasks for which there should be room, beside those running now, if it is cheap. */
   readonly wanted: number;
+  /** Of these, those worth the dearer offers too. */
+  readonly needed: number;
   /** Tasks that wait now, by share. */
   readonly waiting: ReadonlyMap<ShareNo, number>;
   readonly rank: number;
@@ -109,13 +111,14 @@
   g: DemandGroup,
   input: FleetInput,
   asked: ReadonlyMap<string, number>,
+  spotOnly: boolean,
 ): { type: MachineType; zone: string; spot: boolean; perMachine: number } | undefined => {
   let best: { type: MachineType; zone: string; spot: boolean; perMachine: number } | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const type of input.types) {
     const perMachine = slots(g.needs, type.capacity);
     if (perMachine === 0) continue;
-    for (const spot of [true, false]) {
+    for (const spot of spotOnly ? [true] : [true, false]) {
       const price = (spot ? type.spotPrice : type.price) * (1 + type.bootS / input.lifeS);
       const cost = price / perMachine;
       for (const zone of type.zones) {
@@ -247,10 +250,10 @@
   const assign = shareAssigner(input, short);
   const rents = new Map<string, Rent>();
   let total = 0;
-  for (const g of demand) {
-    let rest = fill(g, Math.max(0, g.wanted), rooms);
+  const rent = (g: DemandGroup, count: number, spotOnly: boolean): void => {
+    let rest = count;
     while (rest > 0 && total < input.maxRents) {
-      const offer = bestOffer(g, input, asked);
+      const offer = bestOffer(g, input, asked, spotOnly);
       if (offer === undefined) break;
       const key = offerKey(offer.type.name, offer.zone, offer.spot);
       asked.set(key, (asked.get(key) ?? 0) + 1);
@@ -264,7 +267,12 @@
       total++;
       rest -= offer.perMachine;
     }
-  }
+  };
+  // What is needed may take any room; what is merely wanted only the cheap, or ordinary machines
+  // rented for one burst would stay for the comfort of the next.
+  for (const g of demand) rent(g, fill(g, g.needed, rooms), false);
+  const cheap = rooms.filter((r) => r.m.spot);
+  for (const g of demand) rent(g, fill(g, Math.max(0, g.wanted - g.needed), cheap), true);
   const returns = rooms
     .filter((r) => r.taken === 0 && r.m.open === 0 && r.m.up && !moved.has(r.m.id))
     .filter((r) => r.m.idleS >= input.idleReturnS)
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -51,6 +51,7 @@
   rank: 1,
   urgent: false,
   wanted,
+  needed: wanted,
   waiting: new Map([[shareNo(share), wanted]]),
   ...over,
 });
@@ -94,6 +95,18 @@
     refused: [offerKey("small", "a", true), offerKey("small", "b", true)],
     want: { rents: ["large a spot 1 >0"] },
   },
+  {
+    name: "what is wanted but not needed takes no dear offer, and keeps no dear machine",
+    machines: [machine("m", 0, { spot: false })],
+    demand: [group(0, 2, { needed: 0, waiting: new Map() })],
+    refused: [
+      offerKey("small", "a", true),
+      offerKey("small", "b", true),
+      offerKey("large", "a", true),
+      offerKey("large", "b", true),
+    ],
+    want: { returns: ["m"] },
+  },
   {
     name: "a booting machine counts as room",
     machines: [machine("m", 0, { up: false })],
@@ -126,19 +139,19 @@
       busy("o", 1, [1, 0]),
       busy("p", 2, [2, 1], [1, 0]),
     ],
-    demand: [group(0, 2, { wanted: 0, urgent: true })],
+    demand: [group(0, 2, { wanted: 0, needed: 0, urgent: true })],
     want: { moves: ["n>0 vacate"] },
   },
   {
     name: "not while its own share has lower rank to preempt",
     machines: [busy("m", 1, [2, 5]), busy("n", 0, [2, 30], [2, 30])],
-    demand: [group(0, 2, { wanted: 0, urgent: true })],
+    demand: [group(0, 2, { wanted: 0, needed: 0, urgent: true })],
     want: {},
   },
   {
     name: "nor for work that can wait",
     machines: [busy("m", 1, [2, 5])],
-    demand: [group(0, 2, { wanted: 0 })],
+    demand: [group(0, 2, { wanted: 0, needed: 0 })],
     want: {},
   },
   {
