--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -37,7 +37,8 @@
   /** Slots that would see its work through in good time, and only just. */
   wanted: number;
   needed: number;
-  urgent: boolean;
+  /** Tasks whose objectives leave less than a boot's time. */
+  hasty: number;
 }
 
 /**
@@ -60,7 +61,7 @@
     let e = sums.get(key);
     if (e === undefined) {
       const base = { needs, types, zone, spotAllowed, rank: rankOrder(rank) };
-      e = { ...base, open: 0, waits: 0, waiting: new Map(), wanted: 0, needed: 0, urgent: false };
+      e = { ...base, open: 0, waits: 0, waiting: new Map(), wanted: 0, needed: 0, hasty: 0 };
       sums.set(key, e);
     }
     // A team at its limit can't use more room.
@@ -73,7 +74,8 @@
     e.open += j.open.length;
     e.waits += waiting;
     if (waiting > 0) e.waiting.set(share, (e.waiting.get(share) ?? 0) + waiting);
-    if (patienceS(targets, runS, d.patience) < d.bootS) e.urgent = true;
+    // One long job must not make its whole class urgent.
+    if (patienceS(targets, runS, d.patience) < d.bootS) e.hasty += waiting + j.open.length;
     // Work left, over the time there is for it. The running are half done on the whole.
     const slotsIn = (windowS: number): number =>
       waiting * Math.min(1, runS / windowS) + j.open.length * Math.min(1, runS / 2 / windowS);
@@ -89,15 +91,17 @@
       return seen;
     };
     const all = e.open + e.waits;
-    const needed = smooth(`${key}|needed`, e.urgent ? all : e.needed);
-    const wanted = smooth(`${key}|wanted`, e.urgent ? all : e.wanted);
-    const { open, waits, wanted: _w, needed: _n, ...g } = e;
+    const urgent = 2 * e.hasty > all;
+    const needed = smooth(`${key}|needed`, urgent ? all : e.needed);
+    const wanted = smooth(`${key}|wanted`, urgent ? all : e.wanted);
+    const { open, waits, hasty, wanted: _w, needed: _n, ...g } = e;
     const beside = (n: number): number => Math.max(0, Math.ceil(n) - open);
     ranked.push({
       g: {
         ...g,
+        urgent,
         needed: beside(needed),
-        wanted: beside(e.urgent ? wanted * (1 + d.headroom) : Math.max(wanted, needed)),
+        wanted: beside(urgent ? wanted * (1 + d.headroom) : Math.max(wanted, needed)),
       },
       rank: e.rank,
     });
