--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -49,7 +49,7 @@
   knob("membership", "hand_back_s", "handBackS", 0, 86_400, 6),
   knob("state", "watch_pause_ms", "watchPauseMs", 0, 10_000, 100),
   knob("rounds", "period_ms", "roundMs", 10, 10_000, 250),
-  knob("machines", "silence_s", "silenceS", 1, 86_400, 10),
+  knob("machines", "silence_s", "silenceS", 1, 86_400, 6.5),
   knob("swarm", "period_s", "swarmPeriodS", 0.1, 86_400, 5),
   knob("swarm", "moves_per_round", "swarmMoves", 0, 10_000, 2),
   knob("swarm", "max_loss_s", "swarmMaxLossS", 0, 86_400, 4),
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -76,7 +76,10 @@
 } from "./session.js";
 
 /** How long a direct call to a worker may take. */
-const DIRECT_MS = 2000;
+const DIRECT_MS = 1200;
+/** How late a report may be before its machine is called, and how often that is done. */
+const OVERDUE_MS = 300;
+const PROBE_EVERY_MS = 1500;
 /** How long a place is kept for a task that moves. */
 const MOVE_MS = 10_000;
 /** Room left in a value and in a transaction for keys, versions and names. */
@@ -445,10 +448,9 @@
       const note = this.#note(id);
       const quiet = now - s.heardAt;
       const claim = s.state === "claiming" || (s.state === "unheard" && m.value.endpoint !== "");
-      const everyMs = claim ? 1000 : settings.workers.reportS * 1000;
-      if (quiet > settings.workers.reportS * 1700 || claim) {
-        if (now - note.calledAt >= everyMs) void this.callMachine(id);
-      }
+      // Reports come with up to a quarter of delay; one that is later than that is asked for.
+      const overdue = quiet > settings.workers.reportS * 1250 + OVERDUE_MS;
+      if ((overdue || claim) && now - note.calledAt >= PROBE_EVERY_MS) void this.callMachine(id);
       if (m.value.endpoint === "" && s.report === undefined) continue;
       if (quiet < operators.silenceS * 1000 || note.failedCalls < 2) continue;
       this.#step(id, { kind: "silence" });
