--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -20,6 +20,7 @@
   readonly fallS: number;
   readonly preemptSlackS: number;
   readonly preemptMaxLossS: number;
+  readonly spareSlackS: number;
   readonly lifeS: number;
   readonly refusedPauseS: number;
   readonly bootPatience: number;
@@ -57,10 +58,11 @@
   knob("fleet", "idle_return_s", "idleReturnS", 0, 86_400, 25),
   knob("fleet", "headroom", "headroom", 0, 10, 0.3),
   knob("fleet", "patience", "patience", 0, 1, 0.3),
-  knob("fleet", "last_patience", "lastPatience", 0, 1, 0.8),
+  knob("fleet", "last_patience", "lastPatience", 0, 1, 0.6),
   knob("fleet", "rise_s", "riseS", 0, 86_400, 15),
   knob("fleet", "fall_s", "fallS", 0, 86_400, 60),
   knob("preemption", "slack_s", "preemptSlackS", 0, 86_400, 12),
+  knob("preemption", "spare_slack_s", "spareSlackS", 0, 86_400, 120),
   knob("preemption", "max_loss_s", "preemptMaxLossS", 0, 86_400, 600),
   knob("fleet", "life_s", "lifeS", 1, 86_400, 300),
   knob("fleet", "refused_pause_s", "refusedPauseS", 0, 86_400, 20),
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -925,11 +925,12 @@
         if (job === undefined || job.cancelledAt !== null || note?.stop != null) continue;
         const { rank, team, needs, saveS } = job.spec;
         if (!mayPreempt(me, { rank: rankOrder(rank), owed: owed.has(o.job), team })) continue;
-        // One that would miss its own objective by a restart is as good as not for the taking.
+        // The nearer its own objective, the dearer: else the same young tasks of the same jobs are
+        // stopped again and again, each time at little loss, until their job is late.
         const ageS = (timeOfDay() - job.acceptedAt) / 1000;
         const targets = targetsOf(job.spec, this.ctx.settings.objectives, owed.has(o.job));
         const slack = slackS(targets, ageS, this.runS(job.spec));
-        const dear = slack < operators.preemptSlackS ? operators.preemptMaxLossS / 2 : 0;
+        const dear = Math.max(0, operators.spareSlackS - slack);
         victims.push({ task: t, needs, lossS: this.#lossS(job, note, now) + saveS + dear });
       }
       if (victims.length > 0) grounds.push({ id: p.id, free: minus(p.capacity, p.use), victims });
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -323,6 +323,7 @@
       riseS: operators.riseS,
       fallS: operators.fallS,
       dtS,
+      now: timeOfDay(),
       levels: this.#levels,
     });
     this.#levels = d.levels;
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -1,9 +1,9 @@
 import type { Objective, Team } from "../cli/settings.js";
-import type { JobId, ShareNo, TeamName } from "../protocol/ids.js";
+import type { JobId, ShareNo, TeamName, Wall } from "../protocol/ids.js";
 import { type Resources, rankOrder } from "../protocol/jobs.js";
 import { type LiveJob, waitingCount } from "../storage/records.js";
 import { type DemandGroup, follow } from "./fleet.js";
-import { patienceS, targetsOf } from "./objectives.js";
+import { patienceS, targetsOf, windowS } from "./objectives.js";
 
 export interface DemandInput {
   readonly jobs: Iterable<readonly [JobId, LiveJob]>;
@@ -21,6 +21,7 @@
   readonly riseS: number;
   readonly fallS: number;
   readonly dtS: number;
+  readonly now: Wall;
   /** Level kept from the last look, by group. */
   readonly levels: ReadonlyMap<string, number>;
 }
@@ -70,6 +71,7 @@
     const waiting = Math.max(0, Math.min(waitingCount(j), most - j.open.length));
     teamRoom.set(team, room - (waiting + j.open.length) * needs.cpus);
     const runS = d.runS(j);
+    const ageS = Math.max(0, (d.now - j.acceptedAt) / 1000);
     const targets = targetsOf(j.spec, d.objectives, d.owed.has(id));
     e.open += j.open.length;
     e.waits += waiting;
@@ -79,8 +81,8 @@
     // Work left, over the time there is for it. The running are half done on the whole.
     const slotsIn = (windowS: number): number =>
       waiting * Math.min(1, runS / windowS) + j.open.length * Math.min(1, runS / 2 / windowS);
-    e.wanted += slotsIn(Math.max(1e-3, patienceS(targets, runS, d.patience)));
-    e.needed += slotsIn(Math.max(1e-3, patienceS(targets, runS, d.lastPatience)));
+    e.wanted += slotsIn(windowS(targets, ageS, runS, d.patience));
+    e.needed += slotsIn(windowS(targets, ageS, runS, d.lastPatience));
   }
   const levels = new Map<string, number>();
   const ranked: { g: DemandGroup; rank: number }[] = [];
--- a/src/scheduling/objectives.ts
+++ b/src/scheduling/objectives.ts
@@ -47,3 +47,22 @@
   }
   return most === Number.POSITIVE_INFINITY ? runS : most;
 };
+
+/**
+ * The window a job's work left should be done in: a part of the time until its next objective that
+ * can still be met. It closes as the job ages, so a backlog that is getting late asks for more.
+ */
+export const windowS = (
+  targets: readonly Target[],
+  ageS: number,
+  runS: number,
+  part: number,
+): number => {
+  const slack = slackS(targets, ageS, runS);
+  if (slack === Number.POSITIVE_INFINITY)
+    return Math.max(MIN_WINDOW_S, patienceS(targets, runS, part));
+  return Math.max(MIN_WINDOW_S, slack * part);
+};
+
+/** Below this, all that waits is wanted at once anyway. */
+const MIN_WINDOW_S = 1;
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -11,7 +11,7 @@
   offerKey,
   planFleet,
 } from "../src/scheduling/fleet.js";
-import { slackS, targetsOf } from "../src/scheduling/objectives.js";
+import { slackS, targetsOf, windowS } from "../src/scheduling/objectives.js";
 import { owedJobs, queueOrder } from "../src/scheduling/order.js";
 import { cheapestRoom, mayPreempt } from "../src/scheduling/preempt.js";
 import { type LiveJob, newJob } from "../src/storage/records.js";
@@ -296,6 +296,15 @@
   assert.equal(slackS(targetsOf({ jobClass: "x", deadlineS: null }, OBJECTIVES, true), 1, 5), 9);
 });
 
+test("the window for a job's work closes as it ages", () => {
+  const slow = targetsOf({ jobClass: "slow", deadlineS: null }, OBJECTIVES, false);
+  assert.equal(windowS(slow, 0, 50, 0.5), 100);
+  assert.equal(windowS(slow, 100, 50, 0.5), 50);
+  assert.equal(windowS(slow, 200, 50, 0.5), 1);
+  // Late already: it is treated like any other of its class.
+  assert.equal(windowS(slow, 240, 50, 0.5), 100);
+});
+
 test("jobs within the guarantee, counted from the earliest", () => {
   const team = { name: teamName("t"), cpus: 32, gpus: 0, cpusMax: 96, gpusMax: 0 };
   const teams = new Map([[team.name, team]]);
