--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -418,7 +418,9 @@
     const reserve = Math.min(2, ctx.settings.state.writeRps / 20);
     if (!ctx.store.mayWrite(batch.ops.length, reserve)) return false;
     const conditions: Condition[] = [...batch.conditions].map(([key, rev]) => ({ key, rev }));
+    const began = steadyNow();
     const r = await ctx.store.settle({ conditions, ops: batch.ops }, () => ctx.stopping);
+    ctx.metrics.record("commit", steadyNow() - began);
     if (r.kind === "applied") {
       absorb(ctx.replica, batch.ops, r.rev);
       this.counters.commits++;
@@ -1050,6 +1052,7 @@
       use.set(spec.team, used);
       this.counters.starts += starts.length;
       for (const o of starts) effects.call.add(o.machine);
+      this.ctx.metrics.record(`start ${spec.jobClass}`, w.ageS * 1000);
       if (this.ctx.log.enabled("debug"))
         this.ctx.log.debug("starts", {
           job: w.id,
--- a/src/service/context.ts
+++ b/src/service/context.ts
@@ -6,6 +6,7 @@
 import type { Replica } from "../storage/replica.js";
 import type { Store } from "../storage/store.js";
 import type { Logger } from "./log.js";
+import type { Metrics } from "./metrics.js";
 
 /** What all parts of one controller share. */
 export interface Context {
@@ -17,6 +18,7 @@
   readonly me: Holder;
   readonly log: Logger;
   readonly random: () => number;
+  readonly metrics: Metrics;
   /** False until the first scan is in. */
   synced: boolean;
   stopping: boolean;
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -13,6 +13,7 @@
 import { type Answer, decodeBody, type Handler } from "../transport/server.js";
 import type { Context } from "./context.js";
 import type { Logger } from "./log.js";
+import { Metrics } from "./metrics.js";
 import { Users } from "./users.js";
 
 const WATCH_MS = 10_000;
@@ -61,6 +62,7 @@
     me: { label: settings.label, incarnation },
     log,
     random,
+    metrics: new Metrics(),
     synced: false,
     stopping: false,
   };
@@ -159,6 +161,7 @@
       machines: ctx.replica.machines.size,
       holder: holder.stats(),
       ...(membership.leads() ? { leader: leader.stats() } : {}),
+      timesMs: await ctx.metrics.drain(),
       rssMb: Math.round(rss / 1e6),
       heapMb: Math.round(heapUsed / 1e6),
       cpuMs: Math.round((cpu.user + cpu.system) / 1000),
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -121,9 +121,11 @@
     }
     if (this.#pending >= this.#mostPending() || !ctx.store.mayWrite(1)) return busy(429);
     this.#pending++;
+    const began = steadyNow();
     try {
       return await this.#accept(spec);
     } finally {
+      ctx.metrics.record("accept", steadyNow() - began);
       this.#pending--;
     }
   }
