Size the fleet by the processor demand of all work in its windows

Cause: each class asked for its own room, though the same processors serve pressing work first and patient work after.

--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -5,6 +5,10 @@
 import { type DemandGroup, follow } from "./fleet.js";
 import { patienceS, targetsOf, windowS } from "./objectives.js";
 
+/** Guards against division by nothing for tasks that take no processors or no time. */
+const LEAST_CPUS = 0.1;
+const LEAST_WINDOW_S = 1;
+
 export interface DemandInput {
   readonly jobs: Iterable<readonly [JobId, LiveJob]>;
   readonly shareOf: ReadonlyMap<TeamName, ShareNo>;
@@ -40,8 +44,31 @@
   needed: number;
   /** Tasks whose objectives leave less than a boot's time. */
   hasty: number;
+  urgent: boolean;
+}
+
+/** Work that is to be done within a window. */
+export interface Due {
+  readonly windowS: number;
+  /** Processor seconds. */
+  readonly work: number;
 }
 
+/**
+ * Processors that can do all work in its window, the most pressing first: over every window, the
+ * work due in it by its length (the processor demand of earliest deadline first). Less than the
+ * sum of what each job would want alone, for the same processors serve one after the other.
+ */
+export const demandBound = (due: readonly Due[]): number => {
+  let work = 0;
+  let most = 0;
+  for (const d of [...due].sort((a, b) => a.windowS - b.windowS)) {
+    work += d.work;
+    most = Math.max(most, work / d.windowS);
+  }
+  return most;
+};
+
 /**
  * Slots wanted by group. A class whose objectives leave less time than a machine takes to boot
  * wants room for all that is in the system, and some more; one with time to spare wants enough
@@ -52,6 +79,7 @@
   d: DemandInput,
 ): { readonly groups: readonly DemandGroup[]; readonly levels: ReadonlyMap<string, number> } => {
   const sums = new Map<string, Sum>();
+  const due = { wanted: [] as Due[], needed: [] as Due[] };
   const teamRoom = new Map<TeamName, number>();
   for (const [id, j] of d.jobs) {
     const share = d.shareOf.get(j.spec.team);
@@ -62,7 +90,16 @@
     let e = sums.get(key);
     if (e === undefined) {
       const base = { needs, types, zone, spotAllowed, rank: rankOrder(rank) };
-      e = { ...base, open: 0, waits: 0, waiting: new Map(), wanted: 0, needed: 0, hasty: 0 };
+      e = {
+        ...base,
+        open: 0,
+        waits: 0,
+        waiting: new Map(),
+        wanted: 0,
+        needed: 0,
+        hasty: 0,
+        urgent: false,
+      };
       sums.set(key, e);
     }
     // A team at its limit can't use more room.
@@ -81,9 +118,29 @@
     // Work left, over the time there is for it. The running are half done on the whole.
     const slotsIn = (windowS: number): number =>
       waiting * Math.min(1, runS / windowS) + j.open.length * Math.min(1, runS / 2 / windowS);
-    e.wanted += slotsIn(windowS(targets, ageS, runS, d.patience));
-    e.needed += slotsIn(windowS(targets, ageS, runS, d.lastPatience));
+    const work = (waiting + j.open.length / 2) * runS * Math.max(needs.cpus, LEAST_CPUS);
+    for (const [tier, part] of [
+      ["wanted", d.patience],
+      ["needed", d.lastPatience],
+    ] as const) {
+      const window = windowS(targets, ageS, runS, part);
+      e[tier] += slotsIn(window);
+      // Nothing is done sooner than it runs.
+      due[tier].push({ windowS: Math.max(window, runS, LEAST_WINDOW_S), work });
+    }
+  }
+  const alone = { wanted: 0, needed: 0 };
+  for (const e of sums.values()) {
+    e.urgent = 2 * e.hasty > e.open + e.waits;
+    const cpus = Math.max(e.needs.cpus, LEAST_CPUS);
+    for (const tier of ["wanted", "needed"] as const) {
+      if (e.urgent) e[tier] = e.open + e.waits;
+      alone[tier] += e[tier] * cpus;
+    }
   }
+  const shared = (tier: "wanted" | "needed"): number =>
+    alone[tier] > 0 ? Math.min(1, demandBound(due[tier]) / alone[tier]) : 1;
+  const part = { wanted: shared("wanted"), needed: shared("needed") };
   const levels = new Map<string, number>();
   const ranked: { g: DemandGroup; rank: number }[] = [];
   for (const [key, e] of sums) {
@@ -92,18 +149,15 @@
       levels.set(name, seen);
       return seen;
     };
-    const all = e.open + e.waits;
-    const urgent = 2 * e.hasty > all;
-    const needed = smooth(`${key}|needed`, urgent ? all : e.needed);
-    const wanted = smooth(`${key}|wanted`, urgent ? all : e.wanted);
+    const needed = smooth(`${key}|needed`, e.needed * part.needed);
+    const wanted = smooth(`${key}|wanted`, e.wanted * part.wanted);
     const { open, waits, hasty, wanted: _w, needed: _n, ...g } = e;
     const beside = (n: number): number => Math.max(0, Math.ceil(n) - open);
     ranked.push({
       g: {
         ...g,
-        urgent,
         needed: beside(needed),
-        wanted: beside(urgent ? wanted * (1 + d.headroom) : Math.max(wanted, needed)),
+        wanted: beside(e.urgent ? wanted * (1 + d.headroom) : Math.max(wanted, needed)),
       },
       rank: e.rank,
     });
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -4,6 +4,7 @@
 import type { MachineType } from "../src/protocol/cloud.js";
 import { jobId, machineId, shareNo, teamName, wall } from "../src/protocol/ids.js";
 import type { Rank } from "../src/protocol/jobs.js";
+import { demandBound } from "../src/scheduling/demand.js";
 import {
   type DemandGroup,
   type FleetMachine,
@@ -305,6 +306,40 @@
   assert.equal(windowS(slow, 240, 50, 0.5), 100);
 });
 
+const bounds: readonly [string, readonly (readonly [number, number])[], number][] = [
+  ["nothing", [], 0],
+  ["one job alone", [[10, 100]], 10],
+  [
+    "the pressing one and then the patient one on the same processors",
+    [
+      [10, 100],
+      [100, 900],
+    ],
+    10,
+  ],
+  [
+    "two that press together",
+    [
+      [10, 100],
+      [10, 50],
+    ],
+    15,
+  ],
+  [
+    "a patient heap that rules",
+    [
+      [10, 100],
+      [100, 1900],
+    ],
+    20,
+  ],
+];
+
+test("the processors that all work in its windows takes", () => {
+  for (const [name, due, want] of bounds)
+    assert.equal(demandBound(due.map(([windowS, work]) => ({ windowS, work }))), want, name);
+});
+
 test("jobs within the guarantee, counted from the earliest", () => {
   const team = { name: teamName("t"), cpus: 32, gpus: 0, cpusMax: 96, gpusMax: 0 };
   const teams = new Map([[team.name, team]]);
