--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -987,12 +987,15 @@
     });
     const owed = owedJobs(all, this.ctx.teams);
     const at = timeOfDay();
+    const rates = (replica.types?.value ?? []).map((t) => t.fetchGbPerS);
+    const rate = rates.reduce((sum, r) => sum + r, 0) / Math.max(1, rates.length);
     const waiting = all
       .filter(([id, job]) => waitingCount(job) > 0 && (this.#jobs.get(id)?.notBefore ?? 0) <= now)
       .map(([id, job]) => ({
         id,
         job,
         ageS: (at - job.acceptedAt) / 1000,
+        leadS: rate > 0 ? job.spec.imageGb / rate : 0,
         runS: this.runS(job.spec),
         owed: owed.has(id),
       }));
--- a/src/scheduling/order.ts
+++ b/src/scheduling/order.ts
@@ -33,6 +33,8 @@
   readonly id: JobId;
   readonly job: LiveJob;
   readonly ageS: number;
+  /** From its order to its start: the image's fetch. */
+  readonly leadS: number;
   readonly runS: number;
   readonly owed: boolean;
 }
@@ -50,7 +52,7 @@
   const keyed = waiting.map((q) => ({
     q,
     rank: rankOrder(q.job.spec.rank),
-    slack: slackS(targetsOf(q.job.spec, objectives, q.owed), q.ageS, q.runS),
+    slack: slackS(targetsOf(q.job.spec, objectives, q.owed), q.ageS + q.leadS, q.runS),
     left: waitingCount(q.job),
   }));
   keyed.sort(
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -352,6 +352,7 @@
     id: j[0],
     job: j[1],
     ageS,
+    leadS: 0,
     runS: 30,
     owed,
   });
