--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -61,7 +61,7 @@
   knob("fleet", "last_patience", "lastPatience", 0, 1, 0.35),
   knob("fleet", "rise_s", "riseS", 0, 86_400, 15),
   knob("fleet", "fall_s", "fallS", 0, 86_400, 60),
-  knob("preemption", "slack_s", "preemptSlackS", 0, 86_400, 5),
+  knob("preemption", "slack_s", "preemptSlackS", 0, 86_400, 8),
   knob("preemption", "spare_slack_s", "spareSlackS", 0, 86_400, 120),
   knob("preemption", "max_loss_s", "preemptMaxLossS", 0, 86_400, 600),
   knob("fleet", "life_s", "lifeS", 1, 86_400, 300),
