--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -169,6 +169,9 @@
     for (const id of this.#machines.keys())
       if (!replica.machines.has(id)) this.#machines.delete(id);
     for (const id of this.#jobs.keys()) if (!replica.jobs.has(id)) this.#jobs.delete(id);
+    // Attempts that another holder closed after a share was handed over.
+    for (const [key, note] of this.#attempts)
+      if (!replica.machines.has(note.machine)) this.#attempts.delete(key);
   }
 
   #note(id: MachineId): MachineNote {
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -48,6 +48,8 @@
 const LIST_EVERY_MS = 15_000;
 /** How long a machine may take to be vacated before another is asked for. */
 const VACATE_MS = 6000;
+/** Machines returned lately, whose late reports must not have them adopted again. */
+const RETURNED_KEPT = 10_000;
 
 /** The leader's work: all calls of the cloud, and which share a free machine serves. */
 export class Leader {
@@ -143,6 +145,10 @@
       return m === undefined ? [] : [{ id, m }];
     });
     for (const id of ids) this.#returned.add(id);
+    for (const id of this.#returned) {
+      if (this.#returned.size <= RETURNED_KEPT) break;
+      this.#returned.delete(id);
+    }
     await this.#txn({
       conditions: present.map(({ id, m }) => ({ key: keys.machine(id), rev: m.rev })),
       ops: present.map(({ id, m }) => ({
