--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -328,6 +328,7 @@
       lastPatience: operators.lastPatience,
       riseS: operators.riseS,
       fallS: operators.fallS,
+      margin: operators.margin,
       dtS,
       now: timeOfDay(),
       levels: this.#levels,
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -24,6 +24,8 @@
   readonly lastPatience: number;
   readonly riseS: number;
   readonly fallS: number;
+  /** What machines need beyond the bound, which takes work for perfectly divisible. */
+  readonly margin: number;
   readonly dtS: number;
   readonly now: Wall;
   /** Level kept from the last look, by group. */
@@ -139,7 +141,7 @@
     }
   }
   const shared = (tier: "wanted" | "needed"): number =>
-    alone[tier] > 0 ? Math.min(1, demandBound(due[tier]) / alone[tier]) : 1;
+    alone[tier] > 0 ? Math.min(1, (d.margin * demandBound(due[tier])) / alone[tier]) : 1;
   const part = { wanted: shared("wanted"), needed: shared("needed") };
   const levels = new Map<string, number>();
   const ranked: { g: DemandGroup; rank: number }[] = [];
