--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -58,7 +58,7 @@
   knob("fleet", "period_ms", "fleetPeriodMs", 50, 60_000, 1000),
   knob("fleet", "idle_return_s", "idleReturnS", 0, 86_400, 25),
   knob("fleet", "headroom", "headroom", 0, 10, 0.3),
-  knob("fleet", "margin", "margin", 0.1, 100, 1.3),
+  knob("fleet", "margin", "margin", 0.1, 100, 1.15),
   knob("fleet", "patience", "patience", 0, 1, 0.2),
   knob("fleet", "last_patience", "lastPatience", 0, 1, 0.35),
   knob("fleet", "rise_s", "riseS", 0, 86_400, 15),
