--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -8,11 +8,9 @@
   type Revision,
   type ShareNo,
   splitTask,
-  steadyNow,
   type TaskId,
   type Token,
   taskId,
-  timeOfDay,
   token,
 } from "../protocol/ids.js";
 import { type JobSpec, type Resources, rankOrder } from "../protocol/jobs.js";
@@ -53,7 +51,8 @@
   waitingCount,
 } from "../storage/records.js";
 import type { Versioned } from "../storage/replica.js";
-import type { Caller } from "../transport/client.js";
+import type { Calls } from "../transport/client.js";
+import { steadyNow, timeOfDay } from "../transport/clock.js";
 import type { Answer } from "../transport/server.js";
 import type { Membership } from "./membership.js";
 import {
@@ -104,6 +103,11 @@
 export class Holder {
   readonly #sessions = new Map<MachineId, Session>();
   readonly #attempts = new Map<string, AttemptNote>();
+  /**
+   * Attempts whose closing is decided but not yet known to be written. A report showed them
+   * absent; a start sent after that would run what the record is about to call gone.
+   */
+  readonly #closing = new Set<string>();
   readonly #jobs = new Map<JobId, JobNote>();
   readonly #machines = new Map<MachineId, MachineNote>();
   readonly #runRatio = new Map<string, number>();
@@ -125,7 +129,7 @@
   constructor(
     private readonly ctx: Context,
     private readonly membership: Membership,
-    private readonly workers: Caller,
+    private readonly workers: Calls,
     private readonly wake: () => void,
   ) {}
 
@@ -204,13 +208,15 @@
 
   #wantedOn(id: MachineId): ReadonlyMap<TaskId, Wanted> {
     const out = new Map<TaskId, Wanted>();
+    const stage = this.ctx.replica.machines.get(id)?.value.stage;
     for (const [task, o] of this.ctx.replica.openOn(id)) {
       const job = this.ctx.replica.jobs.get(o.job)?.value;
       const note = this.#attempts.get(attemptKey(task, o.attempt));
       // Nothing of a cancelled job is of use: it stops without saving.
       const stopGraceS =
         job === undefined || job.cancelledAt !== null ? 0 : (note?.stop?.graceS ?? null);
-      out.set(task, { task, attempt: o.attempt, stopGraceS });
+      const leaving = this.#closing.has(attemptKey(task, o.attempt)) || stage !== "up";
+      out.set(task, { task, attempt: o.attempt, stopGraceS, leaving });
     }
     return out;
   }
@@ -378,6 +384,7 @@
       return await this.#round();
     } finally {
       this.#committing = false;
+      this.#closing.clear();
     }
   }
 
@@ -667,6 +674,7 @@
     const close = (done: boolean): void => {
       const d = draftOf(id);
       if (d === undefined) return;
+      this.#closing.add(key);
       d.job = {
         ...d.job,
         open: d.job.open.filter((x) => x.index !== o.index),
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -9,16 +9,7 @@
   rentBody,
   returnBody,
 } from "../protocol/cloud.js";
-import {
-  ABSENT,
-  type MachineId,
-  type Mono,
-  mono,
-  type ShareNo,
-  shareNo,
-  steadyNow,
-  timeOfDay,
-} from "../protocol/ids.js";
+import { ABSENT, type MachineId, type Mono, mono, type ShareNo, shareNo } from "../protocol/ids.js";
 import { rankOrder } from "../protocol/jobs.js";
 import { encodePeer, type MoveRequest } from "../protocol/peer.js";
 import type { Op, Txn } from "../protocol/store.js";
@@ -45,7 +36,8 @@
   typesValue,
   waitingCount,
 } from "../storage/records.js";
-import type { Caller } from "../transport/client.js";
+import type { Calls } from "../transport/client.js";
+import { steadyNow, timeOfDay } from "../transport/clock.js";
 import type { Holder } from "./holder.js";
 import type { Membership } from "./membership.js";
 import { attemptKey } from "./session.js";
@@ -78,8 +70,8 @@
     private readonly ctx: Context,
     private readonly membership: Membership,
     private readonly holder: Holder,
-    private readonly cloud: Caller,
-    private readonly peers: Caller,
+    private readonly cloud: Calls,
+    private readonly peers: Calls,
   ) {
     this.#budget = new Budget(ctx.settings.cloud.rps * 0.9, 1.5, steadyNow());
   }
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -5,11 +5,11 @@
   type Mono,
   mono,
   type ShareNo,
-  steadyNow,
 } from "../protocol/ids.js";
 import type { Txn } from "../protocol/store.js";
 import { absorb, type Context, refresh } from "../service/context.js";
 import { type Holder, holderValue, keys, sameHolder, teamsValue } from "../storage/records.js";
+import { steadyNow } from "../transport/clock.js";
 import { assignTeams, planShares } from "./shares.js";
 
 /** This controller's place among the others: its lease, its shares, its claim to leadership. */
--- a/src/coordination/session.ts
+++ b/src/coordination/session.ts
@@ -178,8 +178,10 @@
 export interface Wanted {
   readonly task: TaskId;
   readonly attempt: AttemptNo;
-  /** Null: it should run. Otherwise it should stop, given this time to save. */
+  /** Null: it may run. Otherwise it should stop, given this time to save. */
   readonly stopGraceS: number | null;
+  /** Its closing is being written, or the machine is on its way out: never start it (again). */
+  readonly leaving: boolean;
 }
 
 /**
@@ -206,7 +208,7 @@
     }
   }
   for (const w of wanted.values()) {
-    if (w.stopGraceS !== null) continue;
+    if (w.stopGraceS !== null || w.leaving) continue;
     if (s.tasks.get(w.task)?.attempt === w.attempt) continue;
     // Still unanswered: a second copy would only be one more to lose track of.
     if (s.sent.get(attemptKey(w.task, w.attempt))?.direct === "pending") continue;
--- a/src/protocol/ids.ts
+++ b/src/protocol/ids.ts
@@ -44,6 +44,3 @@
   const slash = task.lastIndexOf("/");
   return { job: jobId(task.slice(0, slash)), index: Number(task.slice(slash + 1)) };
 };
-
-export const steadyNow = (): Mono => mono(performance.now());
-export const timeOfDay = (): Wall => wall(Date.now());
--- /dev/null
+++ b/src/service/node.ts
@@ -0,0 +1,190 @@
+import type { Operators } from "../cli/operators.js";
+import type { Settings } from "../cli/settings.js";
+import { Holder } from "../coordination/holder.js";
+import { Leader } from "../coordination/leader.js";
+import { Membership } from "../coordination/membership.js";
+import type { Incarnation } from "../protocol/ids.js";
+import { decodePeer } from "../protocol/peer.js";
+import { NOW } from "../storage/records.js";
+import { Replica } from "../storage/replica.js";
+import { Store } from "../storage/store.js";
+import type { Calls } from "../transport/client.js";
+import { sleep } from "../transport/clock.js";
+import { type Answer, decodeBody, type Handler } from "../transport/server.js";
+import type { Context } from "./context.js";
+import type { Logger } from "./log.js";
+import { Users } from "./users.js";
+
+const WATCH_MS = 10_000;
+const RETRY_MS = 200;
+const MEMBERSHIP_MS = 250;
+const MIN_ROUND_GAP_MS = 15;
+
+/** What a node reaches the world through. */
+export interface Ways {
+  readonly state: Calls;
+  readonly cloud: Calls;
+  readonly workers: Calls;
+  readonly peers: Calls;
+}
+
+/** A job that is done again and again, `everyMs` after it last ended. */
+export interface Pass {
+  readonly name: string;
+  readonly everyMs: number;
+  readonly run: () => Promise<unknown>;
+}
+
+export interface Node {
+  readonly front: Handler;
+  readonly inner: Handler;
+  readonly passes: readonly Pass[];
+  readonly stop: () => void;
+}
+
+/** All parts of one controller, put together; whoever calls this runs the passes and the servers. */
+export const makeNode = (
+  settings: Settings,
+  operators: Operators,
+  log: Logger,
+  ways: Ways,
+  incarnation: Incarnation,
+  random: () => number,
+): Node => {
+  const members = settings.seeds.length + 1;
+  const ctx: Context = {
+    settings,
+    teams: new Map(settings.teams.map((t) => [t.name, t])),
+    operators,
+    store: new Store(settings.stateAddress, settings.state, ways.state, members),
+    replica: new Replica(),
+    me: { label: settings.label, incarnation },
+    log,
+    random,
+    synced: false,
+    stopping: false,
+  };
+  let roundDue = true;
+  let wakeRounds: (() => void) | undefined;
+  const wake = (): void => {
+    roundDue = true;
+    wakeRounds?.();
+  };
+  const membership = new Membership(ctx);
+  const holder = new Holder(ctx, membership, ways.workers, wake);
+  const leader = new Leader(ctx, membership, holder, ways.cloud, ways.peers);
+  const users = new Users(ctx, membership, wake);
+
+  const front: Handler = (req) => {
+    const { method, path } = req;
+    if (path === "/agent/beat") {
+      if (method !== "POST") return { status: 405 };
+      const d = decodeBody(req.bytes);
+      if (!d.ok) return { status: 400, body: { error: "not CBOR" } };
+      return holder.beat(d.value, (r) => leader.adopt(r));
+    }
+    if (path === "/ready") return method === "GET" ? users.ready() : { status: 405 };
+    if (path === "/work") return method === "POST" ? users.submit(req.bytes) : { status: 405 };
+    const parts = path.split("/");
+    if (parts[1] === "work" && parts.length === 3)
+      return method === "GET" ? users.poll(parts[2] ?? "") : { status: 405 };
+    if (parts[1] === "work" && parts.length === 4 && parts[3] === "withdraw")
+      return method === "POST" ? users.cancel(parts[2] ?? "") : { status: 405 };
+    return { status: 404, body: { error: "unknown path" } };
+  };
+
+  const inner: Handler = (req): Answer => {
+    if (req.path !== "/peer") return { status: 404 };
+    if (req.method !== "POST") return { status: 405 };
+    try {
+      const m = decodePeer(req.bytes);
+      for (const x of m.moves) holder.requestMove(x);
+      for (const id of m.retire) holder.requestRetire(id);
+      wake();
+      return { status: 204 };
+    } catch {
+      log.info("malformed peer message", {});
+      return { status: 400 };
+    }
+  };
+
+  const rescan = async (): Promise<boolean> => {
+    const scan = await ctx.store.scan(NOW);
+    if (scan === undefined) return false;
+    ctx.replica.reset(scan.items, scan.rev);
+    return true;
+  };
+
+  const tendSoon = (): void => {
+    wake();
+    membership.tend().catch((e) => log.error("membership failed", { error: String(e) }));
+  };
+
+  const follow = async (): Promise<void> => {
+    if (!ctx.synced) {
+      if (!(await rescan())) return sleep(RETRY_MS);
+      ctx.synced = true;
+      log.info("synced", { rev: ctx.replica.position, jobs: ctx.replica.jobs.size });
+      tendSoon();
+    }
+    const w = await ctx.store.watch(NOW, ctx.replica.position, WATCH_MS);
+    if (w.kind === "unavailable") return sleep(RETRY_MS);
+    if (w.kind === "too_old") {
+      await rescan();
+      return;
+    }
+    for (const c of w.changes) ctx.replica.apply(c);
+    ctx.replica.advance(w.rev);
+    if (w.changes.length > 0) tendSoon();
+  };
+
+  const rounds = async (): Promise<void> => {
+    if (!roundDue)
+      await Promise.race([
+        sleep(operators.roundMs),
+        new Promise<void>((resolve) => {
+          wakeRounds = resolve;
+        }),
+      ]);
+    wakeRounds = undefined;
+    roundDue = false;
+    if (await holder.round()) roundDue = true;
+  };
+
+  const stats = async (): Promise<void> => {
+    const { rss, heapUsed } = process.memoryUsage();
+    const cpu = process.cpuUsage();
+    log.info("stats", {
+      jobs: ctx.replica.jobs.size,
+      machines: ctx.replica.machines.size,
+      holder: holder.stats(),
+      ...(membership.leads() ? { leader: leader.stats() } : {}),
+      rssMb: Math.round(rss / 1e6),
+      heapMb: Math.round(heapUsed / 1e6),
+      cpuMs: Math.round((cpu.user + cpu.system) / 1000),
+    });
+  };
+
+  const pass = (name: string, everyMs: number, run: () => Promise<unknown>): Pass => ({
+    name,
+    everyMs,
+    run,
+  });
+  return {
+    front,
+    inner,
+    passes: [
+      pass("lease", Math.floor(operators.memberLeaseMs / 4), () => membership.keepLease()),
+      pass("membership", MEMBERSHIP_MS, () => membership.tend()),
+      pass("watch", operators.watchPauseMs, follow),
+      pass("rounds", MIN_ROUND_GAP_MS, rounds),
+      pass("cloud", operators.fleetPeriodMs, () => leader.callCloud()),
+      pass("fleet", operators.fleetPeriodMs, () => leader.plan()),
+      pass("stats", operators.statsPeriodS * 1000, stats),
+    ],
+    stop: () => {
+      ctx.stopping = true;
+      for (const c of Object.values(ways)) c.close();
+    },
+  };
+};
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -1,5 +1,5 @@
 import type { Membership } from "../coordination/membership.js";
-import { ABSENT, type JobId, jobId, type Revision, steadyNow, timeOfDay } from "../protocol/ids.js";
+import { ABSENT, type JobId, jobId, type Revision } from "../protocol/ids.js";
 import {
   isJobId,
   type JobSpec,
@@ -18,6 +18,7 @@
   parseFinal,
   parseLive,
 } from "../storage/records.js";
+import { steadyNow, timeOfDay } from "../transport/clock.js";
 import { type Answer, decodeBody } from "../transport/server.js";
 import { absorb, type Context } from "./context.js";
 
--- a/src/storage/store.ts
+++ b/src/storage/store.ts
@@ -1,4 +1,4 @@
-import { type LeaseId, type Revision, steadyNow } from "../protocol/ids.js";
+import type { LeaseId, Revision } from "../protocol/ids.js";
 import {
   type Change,
   grantBody,
@@ -13,7 +13,8 @@
   type Txn,
   txnBody,
 } from "../protocol/store.js";
-import { Caller, type Reply } from "../transport/client.js";
+import type { Calls, Reply } from "../transport/client.js";
+import { sleep, steadyNow } from "../transport/clock.js";
 import { Budget } from "./budget.js";
 
 export type TxnResult =
@@ -39,11 +40,8 @@
 const CALL_MS = 1500;
 const SCAN_LIMIT = 1000;
 
-export const sleep = (ms: number): Promise<void> => new Promise((r) => setTimeout(r, ms));
-
 /** The state service's client: its calls, its limits, and what an answer does and doesn't prove. */
 export class Store {
-  readonly #caller: Caller;
   readonly #requests: Budget;
   readonly #writes: Budget;
   /** Steady time of the last answer other than 503, for telling an outage. */
@@ -52,10 +50,9 @@
   constructor(
     private readonly address: string,
     private readonly limits: { readonly rps: number; readonly writeRps: number },
-    maxSockets: number,
+    private readonly calls: Calls,
     members: number,
   ) {
-    this.#caller = new Caller(maxSockets, maxSockets);
     this.#requests = new Budget(limits.rps / members, 1, steadyNow());
     this.#writes = new Budget(limits.writeRps / members, 1, steadyNow());
   }
@@ -75,7 +72,7 @@
   }
 
   async #call(method: string, path: string, body: unknown, ms = CALL_MS): Promise<Reply> {
-    const r = await this.#caller.call(this.address, method, path, body, ms);
+    const r = await this.calls.call(this.address, method, path, body, ms);
     if (r.kind === "answer" && r.status === 429) {
       this.#requests.drain(steadyNow());
       this.#writes.drain(steadyNow());
@@ -176,6 +173,6 @@
   }
 
   close(): void {
-    this.#caller.close();
+    this.calls.close();
   }
 }
--- a/src/transport/client.ts
+++ b/src/transport/client.ts
@@ -12,8 +12,27 @@
   | { readonly kind: "unsent" }
   | { readonly kind: "lost" };
 
+/** Calls of other hosts, over HTTP or, in tests, over a simulated network. */
+export interface Calls {
+  readonly call: (
+    address: string,
+    method: string,
+    path: string,
+    body: unknown,
+    timeoutMs: number,
+  ) => Promise<Reply>;
+  readonly raw: (
+    address: string,
+    method: string,
+    path: string,
+    payload: Uint8Array | undefined,
+    timeoutMs: number,
+  ) => Promise<Reply>;
+  readonly close: () => void;
+}
+
 /** Keep-alive calls to one kind of host, capped so that no kind takes all sockets. */
-export class Caller {
+export class Caller implements Calls {
   readonly #agent: http.Agent;
 
   constructor(maxSocketsPerHost: number, maxTotal: number) {
--- /dev/null
+++ b/src/transport/clock.ts
@@ -0,0 +1,22 @@
+import { type Mono, mono, type Wall, wall } from "../protocol/ids.js";
+
+/** The process's clocks; tests put a simulated one in their place. */
+export interface Clock {
+  readonly steady: () => number;
+  readonly wall: () => number;
+  readonly sleep: (ms: number) => Promise<void>;
+}
+
+let current: Clock = {
+  steady: () => performance.now(),
+  wall: () => Date.now(),
+  sleep: (ms) => new Promise((resolve) => setTimeout(resolve, ms)),
+};
+
+export const setClock = (clock: Clock): void => {
+  current = clock;
+};
+
+export const steadyNow = (): Mono => mono(current.steady());
+export const timeOfDay = (): Wall => wall(current.wall());
+export const sleep = (ms: number): Promise<void> => current.sleep(ms);
--- /dev/null
+++ b/test/sim/world.ts
@@ -0,0 +1,402 @@
+import { defaultOperators } from "../../src/cli/operators.js";
+import { parseSettings, type Settings } from "../../src/cli/settings.js";
+import { decode, encode } from "../../src/protocol/cbor.js";
+import { incarnation } from "../../src/protocol/ids.js";
+import { makeLogger } from "../../src/service/log.js";
+import { makeNode, type Node, type Pass } from "../../src/service/node.js";
+import type { Calls, Reply } from "../../src/transport/client.js";
+import type { Answer } from "../../src/transport/server.js";
+import { SimClock } from "./clock.js";
+import { CloudStand, type Out, StateStand, WorkerStand } from "./stands.js";
+
+type Body = Record<string, unknown>;
+const LABELS = ["n-0", "n-1", "n-2"];
+const LEASE_MS = 21_000;
+const CANCEL_MS = 46_000;
+const QUOTA_CPUS = 24;
+const over = (v: unknown): unknown => (v === undefined ? undefined : decode(encode(v)));
+
+const settingsOf = (n: number): Settings => {
+  const seeds = LABELS.flatMap((label, i) =>
+    i === n ? [] : [`[[seeds]]\nlabel = "${label}"\narea = "z"\naddress = "10.0.0.${i}:2"`],
+  );
+  const parsed = parseSettings(`
+label = "${LABELS[n]}"
+area = "z"
+front = "10.0.0.${n}:1"
+internal_addr = "10.0.0.${n}:2"
+${seeds.join("\n")}
+[services]
+cloud = "10.2.0.2:1"
+state = "10.2.0.1:1"
+[params]
+size = 3
+zones = ["a", "b"]
+${["t0", "t1", "t2", "t3"].map((t) => `[[params.teams]]\nname = "${t}"\ncpus = 8.0\ncpus_max = ${QUOTA_CPUS}.0`).join("\n")}
+[[params.objectives]]
+kind = "wait"
+class = "c"
+within_s = 8.0
+share = 0.95
+[params.workers]
+report_s = 3.0
+lease_s = ${LEASE_MS / 1000}
+cancel_s = ${CANCEL_MS / 1000}
+[params.state]
+rps = 250.0
+write_rps = 50.0
+value_kb = 8.0
+txn_ops = 16
+[params.cloud]
+rps = 4.0
+list_lag_s = 4.0
+[params.resources]
+cpu_share = 0.136
+ram_mb = 178.0
+max_sockets = 1200
+`);
+  if (!parsed.ok) throw new Error(parsed.faults.join("; "));
+  return parsed.value;
+};
+
+const TYPES = [
+  ["small", 8, 0.36],
+  ["large", 16, 0.8],
+].map(([label, cpus, price]) => ({
+  label,
+  cpus,
+  gpus: 0,
+  ramGb: Number(cpus) * 4,
+  cacheGb: 30,
+  pullGbPerS: 1,
+  price,
+  spotPrice: Number(price) / 2,
+  bootS: 10,
+  mills: ["a", "b"],
+}));
+
+interface UserJob {
+  readonly spec: Body;
+  accepted: boolean;
+  cancelAskedAt: number | null;
+  cancelToldAt: number | null;
+  told: string | null;
+  lastAnswerAt: number;
+}
+
+export interface Trouble {
+  /** Share of calls whose answer is lost; the call itself may come late, or never. */
+  readonly lost: number;
+  readonly crashes: boolean;
+  readonly outages: boolean;
+  readonly deaths: boolean;
+}
+
+/** A small world with a checker of PROTOCOL's rules; everything in it follows from the seed. */
+export class World {
+  readonly clock: SimClock;
+  readonly broken: string[] = [];
+  readonly starts: string[] = [];
+  readonly jobs = new Map<string, UserJob>();
+  readonly #state: StateStand;
+  readonly #cloud: CloudStand;
+  readonly #workers = new Map<string, WorkerStand>();
+  readonly #nodes: ({ readonly node: Node; alive: boolean } | undefined)[] = [];
+  /** Where each task is, by the workers' own word. */
+  readonly #on = new Map<string, Set<WorkerStand>>();
+  #inc = 0;
+
+  constructor(
+    seed: number,
+    private readonly trouble: Trouble,
+  ) {
+    this.clock = new SimClock(seed);
+    this.#state = new StateStand(this.clock);
+    this.#cloud = new CloudStand(
+      TYPES,
+      14,
+      (m) =>
+        this.clock.after(this.clock.between(1000, 20_000), () => {
+          if (!this.#cloud.up.has(m.id)) return;
+          this.#workers.set(m.id, new WorkerStand(this.clock, m, LABELS, LEASE_MS, this.#hooks()));
+        }),
+      (id) => {
+        this.#workers.get(id)?.die();
+        this.#workers.delete(id);
+      },
+    );
+  }
+
+  #hooks() {
+    return {
+      began: (w: WorkerStand, task: string) => this.#began(w, task),
+      left: (w: WorkerStand, task: string) => {
+        this.#on.get(task)?.delete(w);
+      },
+      runMs: () => this.clock.between(3000, 20_000),
+      beat: (node: string, report: Body) => this.#toNode(node, "POST", "/agent/beat", report),
+    };
+  }
+
+  #break(rule: string, what: string): void {
+    this.broken.push(`${rule} ${what} at ${Math.round(this.clock.now)}`);
+  }
+
+  #began(w: WorkerStand, task: string): void {
+    const id = task.split("/")[0] as string;
+    const j = this.jobs.get(id);
+    const on = this.#on.get(task) ?? new Set();
+    this.#on.set(task, on);
+    this.starts.push(task);
+    if (on.size > 0) this.#break("ran_twice", task);
+    on.add(w);
+    if (j === undefined) {
+      this.#break("invented", task);
+      return;
+    }
+    const spec = j.spec;
+    if (w.rented.spot && spec.remnant !== true) this.#break("wrong_place", `${task} on spot`);
+    if (spec.oneZone === true && this.#zonesOf(id).size > 1) this.#break("wrong_place", task);
+    let cpus = 0;
+    for (const [t, ws] of this.#on) {
+      const s = this.jobs.get(t.split("/")[0] as string)?.spec;
+      if (s?.crew === spec.crew) cpus += ws.size * Number(s?.cpus);
+    }
+    if (cpus > QUOTA_CPUS) this.#break("quota", `${spec.crew} ${cpus}`);
+    if (j.cancelToldAt !== null && this.clock.now - j.cancelToldAt > CANCEL_MS)
+      this.#break("ran_cancelled", task);
+  }
+
+  #zonesOf(id: string): Set<string> {
+    const zones = new Set<string>();
+    for (const [t, ws] of this.#on)
+      if (t.startsWith(`${id}/`)) for (const w of ws) zones.add(w.rented.zone);
+    return zones;
+  }
+
+  /** A call over the network: its answer may be lost, and what it asked may be done late. */
+  async #call(
+    run: () => Out | undefined | Promise<Out | undefined>,
+    timeoutMs: number,
+  ): Promise<Reply> {
+    await this.clock.sleep(this.clock.between(0.3, 3));
+    if (this.clock.random() < this.trouble.lost) {
+      const fate = this.clock.random();
+      if (fate < 0.4) await run();
+      else if (fate < 0.8) this.clock.after(this.clock.between(500, 60_000), () => void run());
+      await this.clock.sleep(timeoutMs);
+      return { kind: "lost" };
+    }
+    const out = await Promise.race([run(), this.clock.sleep(timeoutMs).then(() => undefined)]);
+    await this.clock.sleep(this.clock.between(0.3, 3));
+    if (out === undefined) return { kind: "lost" };
+    return { kind: "answer", status: out.status, body: over(out.body) };
+  }
+
+  /** One kind of way out of a node; a dead node's calls never come back to it. */
+  #way(
+    isAlive: () => boolean,
+    run: (
+      address: string,
+      method: string,
+      path: string,
+      body: Body | undefined,
+    ) => Out | undefined | Promise<Out | undefined>,
+  ): Calls {
+    const go = (address: string, method: string, path: string, body: unknown, ms: number) =>
+      new Promise<Reply>((resolve) => {
+        const sent = over(body) as Body | undefined;
+        this.#call(() => run(address, method, path, sent), ms).then((r) => {
+          if (isAlive()) resolve(r);
+        });
+      });
+    return {
+      call: go,
+      raw: (address, method, path, payload, ms) =>
+        new Promise((resolve) => {
+          this.#call(() => run(address, method, path, payload as unknown as Body), ms).then((r) => {
+            if (isAlive()) resolve(r);
+          });
+        }),
+      close: () => undefined,
+    };
+  }
+
+  boot(n: number): void {
+    const self = { alive: true };
+    const isAlive = (): boolean => self.alive;
+    const ways = {
+      state: this.#way(isAlive, (_a, method, path, body) => this.#state.handle(method, path, body)),
+      cloud: this.#way(isAlive, (_a, _m, path, body) => this.#cloud.handle(path, body)),
+      workers: this.#way(isAlive, (address, _m, path, body) => {
+        const w = this.#workers.get(address.split(":")[0] as string);
+        return w === undefined || w.hangs ? undefined : w.handle(path, body);
+      }),
+      peers: this.#way(isAlive, async (address, method, path, body) => {
+        const to = this.#nodes[Number(address.split(":")[0]?.split(".")[3])];
+        if (to === undefined || !to.alive) return undefined;
+        const bytes = Buffer.from(body as unknown as Uint8Array);
+        return { status: (await to.node.inner({ method, path, bytes })).status };
+      }),
+    };
+    const node = makeNode(
+      settingsOf(n),
+      defaultOperators(),
+      makeLogger("error", { node: LABELS[n] }, (line) => {
+        if (this.trouble.lost === 0) this.broken.push(line);
+      }),
+      ways,
+      incarnation(`inc-${++this.#inc}`),
+      () => this.clock.random(),
+    );
+    const slot = Object.assign(self, { node });
+    this.#nodes[n] = slot;
+    const loop = async (p: Pass): Promise<void> => {
+      while (self.alive) {
+        await p.run();
+        await this.clock.sleep(Math.max(1, p.everyMs));
+      }
+    };
+    for (const p of node.passes) if (p.name !== "stats") void loop(p);
+  }
+
+  crash(n: number, backMs: number): void {
+    const slot = this.#nodes[n];
+    if (slot === undefined || !slot.alive) return;
+    slot.alive = false;
+    this.#nodes[n] = undefined;
+    this.clock.after(backMs, () => this.boot(n));
+  }
+
+  async #toNode(
+    label: string,
+    method: string,
+    path: string,
+    body?: Body,
+  ): Promise<Out | undefined> {
+    const n = LABELS.indexOf(label);
+    const r = await this.#call(async () => {
+      const slot = this.#nodes[n];
+      if (slot === undefined) return undefined;
+      const bytes = body === undefined ? Buffer.alloc(0) : encode(body);
+      const a: Answer = await slot.node.front({ method, path, bytes });
+      return slot.alive ? { status: a.status, body: a.body } : undefined;
+    }, 4000);
+    return r.kind === "answer" ? r : undefined;
+  }
+
+  #anyNode(): string {
+    return LABELS[Math.floor(this.clock.random() * LABELS.length)] as string;
+  }
+
+  /** One user: submits until answered, polls until the end, perhaps cancels, asks again later. */
+  async user(id: string, spec: Body, cancelAfterMs: number | null): Promise<void> {
+    const j: UserJob = {
+      spec,
+      accepted: false,
+      cancelAskedAt: null,
+      cancelToldAt: null,
+      told: null,
+      lastAnswerAt: this.clock.now,
+    };
+    this.jobs.set(id, j);
+    while (!j.accepted) {
+      const r = await this.#toNode(this.#anyNode(), "POST", "/work", spec);
+      if (r?.status === 201 || r?.status === 200) j.accepted = true;
+      else if (r?.status === 400 || r?.status === 422) {
+        this.#break("forgotten", `${id} refused`);
+        return;
+      } else await this.clock.sleep(1000);
+    }
+    if (cancelAfterMs !== null) this.clock.after(cancelAfterMs, () => void this.#cancel(id, j));
+    for (;;) {
+      await this.clock.sleep(2000);
+      const r = await this.#toNode(this.#anyNode(), "GET", `/work/${id}`);
+      this.#check(id, j, r);
+    }
+  }
+
+  async #cancel(id: string, j: UserJob): Promise<void> {
+    j.cancelAskedAt = this.clock.now;
+    for (;;) {
+      const r = await this.#toNode(this.#anyNode(), "POST", `/work/${id}/withdraw`);
+      this.#check(id, j, r);
+      if (r?.status === 200) return;
+      await this.clock.sleep(1000);
+    }
+  }
+
+  #check(id: string, j: UserJob, r: Out | undefined): void {
+    if (r?.status === 404) this.#break("forgotten", id);
+    if (r?.status !== 200) return;
+    j.lastAnswerAt = this.clock.now;
+    const stage = String((r.body as Body).stage);
+    if (j.told !== null && stage !== j.told) this.#break("went_back", `${id} ${j.told}>${stage}`);
+    if (stage === "cancelled") {
+      if (j.cancelAskedAt === null) this.#break("went_back", `${id} not cancelled by its user`);
+      j.cancelToldAt ??= this.clock.now;
+    }
+    if (stage === "done" || stage === "cancelled") j.told = stage;
+    if (stage === "done") {
+      const ran = new Set(this.starts.filter((t) => t.startsWith(`${id}/`)));
+      if (ran.size < Number(j.spec.threads)) this.#break("not_done", id);
+    }
+  }
+
+  /** Plays a day: jobs, troubles, and then calm in which everything must come to its end. */
+  async day(jobs: number): Promise<void> {
+    for (let n = 0; n < LABELS.length; n++) this.boot(n);
+    for (let i = 0; i < jobs; i++) {
+      const id = `wk-${String(i + 1).padStart(6, "0")}`;
+      const spec = {
+        uid: id,
+        weave: "c",
+        crew: `t${Math.floor(this.clock.random() * 4)}`,
+        pattern: "sweep",
+        rank: this.clock.random() < 0.5 ? "high" : "normal",
+        threads: 1 + Math.floor(this.clock.random() * 8),
+        cpus: 4,
+        gpus: 0,
+        ramGb: 10,
+        bolt: `img-${Math.floor(this.clock.random() * 3)}`,
+        imageGb: 1,
+        oneZone: this.clock.random() < 0.3,
+        remnant: this.clock.random() < 0.6,
+        expectS: 10,
+      };
+      const cancel = this.clock.random() < 0.3 ? this.clock.between(500, 30_000) : null;
+      this.clock.after(this.clock.between(2000, 100_000), () => void this.user(id, spec, cancel));
+    }
+    const t = this.trouble;
+    if (t.crashes)
+      for (let i = 0; i < 6; i++) {
+        const back = this.clock.random() < 0.4 ? 200 : 6000;
+        const n = Math.floor(this.clock.random() * 3);
+        this.clock.after(this.clock.between(10_000, 110_000), () => this.crash(n, back));
+      }
+    if (t.outages) {
+      this.clock.after(this.clock.between(15_000, 50_000), () => this.#state.outage(8000));
+      this.clock.after(this.clock.between(60_000, 90_000), () => this.#state.outage(25_000));
+      this.clock.after(this.clock.between(20_000, 70_000), () => {
+        this.#cloud.down = true;
+        this.clock.after(20_000, () => {
+          this.#cloud.down = false;
+        });
+      });
+    }
+    if (t.deaths)
+      for (let i = 0; i < 8; i++)
+        this.clock.after(this.clock.between(20_000, 110_000), () => {
+          const all = [...this.#workers.values()];
+          const w = all[Math.floor(this.clock.random() * all.length)];
+          if (w === undefined) return;
+          if (this.clock.random() < 0.5) {
+            w.hangs = true;
+            this.clock.after(this.clock.between(2000, 30_000), () => {
+              w.hangs = false;
+            });
+          } else w.die();
+        });
+    await this.clock.runUntil(260_000);
+  }
+}
