--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -22,6 +22,7 @@
   readonly preemptSlackS: number;
   readonly preemptMaxLossS: number;
   readonly spareSlackS: number;
+  readonly overdueS: number;
   readonly lifeS: number;
   readonly refusedPauseS: number;
   readonly bootPatience: number;
@@ -63,6 +64,7 @@
   knob("fleet", "last_patience", "lastPatience", 0, 1, 0.35),
   knob("fleet", "rise_s", "riseS", 0, 86_400, 15),
   knob("fleet", "fall_s", "fallS", 0, 86_400, 60),
+  knob("order", "overdue_s", "overdueS", 1, 86_400, 120),
   knob("preemption", "slack_s", "preemptSlackS", 0, 86_400, 8),
   knob("preemption", "spare_slack_s", "spareSlackS", 0, 86_400, 120),
   knob("preemption", "max_loss_s", "preemptMaxLossS", 0, 86_400, 600),
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -9,11 +9,19 @@
   rentBody,
   returnBody,
 } from "../protocol/cloud.js";
-import { ABSENT, type MachineId, type Mono, mono, type ShareNo, shareNo } from "../protocol/ids.js";
+import {
+  ABSENT,
+  type MachineId,
+  type Mono,
+  mono,
+  type Revision,
+  type ShareNo,
+  shareNo,
+} from "../protocol/ids.js";
 import { rankOrder } from "../protocol/jobs.js";
 import { encodePeer, type MoveRequest } from "../protocol/peer.js";
-import type { Op, Txn } from "../protocol/store.js";
-import type { Report } from "../protocol/workers.js";
+import type { Condition, Op, Txn } from "../protocol/store.js";
+import { parseReport, type Report } from "../protocol/workers.js";
 import { demandOf } from "../scheduling/demand.js";
 import {
   type DemandGroup,
@@ -27,17 +35,20 @@
 import { NOTHING, plus } from "../scheduling/resources.js";
 import { absorb, addressOf, type Context, refresh } from "../service/context.js";
 import { Budget } from "../storage/budget.js";
+import { fleetPageValue, MACHINE_BYTES } from "../storage/pages.js";
 import {
+  goneValue,
   type HireRecord,
   hireValue,
   keys,
   type MachineRecord,
-  machineValue,
   typesValue,
   waitingCount,
 } from "../storage/records.js";
+import type { Versioned } from "../storage/replica.js";
 import type { Calls } from "../transport/client.js";
 import { steadyNow, timeOfDay } from "../transport/clock.js";
+import { pageLimit } from "./batch.js";
 import type { Holder } from "./holder.js";
 import type { Membership } from "./membership.js";
 import { attemptKey } from "./session.js";
@@ -50,6 +61,13 @@
 const VACATE_MS = 6000;
 /** Machines returned lately, whose late reports must not have them adopted again. */
 const RETURNED_KEPT = 10_000;
+/** Strangers asked at a time, and how long they have to answer. */
+const MOST_ASKED = 64;
+const STATUS_MS = 2000;
+/** Most intents written at a time. */
+const MOST_HIRES = 8;
+
+type NewMachine = Omit<MachineRecord, "floor">;
 
 /** The leader's work: all calls of the cloud, and which share a free machine serves. */
 export class Leader {
@@ -58,6 +76,11 @@
   readonly #idleSince = new Map<MachineId, Mono>();
   #levels: ReadonlyMap<string, number> = new Map();
   readonly #returned = new Set<MachineId>();
+  readonly #hiring = new Set<string>();
+  /** Machines whose records are being written, that are asked whether they are there, and that are. */
+  readonly #entering = new Set<MachineId>();
+  readonly #asking = new Set<MachineId>();
+  readonly #adoptable = new Map<MachineId, Omit<NewMachine, "share">>();
   /** When each open attempt was first seen in the records. */
   #openSince: ReadonlyMap<string, Mono> = new Map();
   /** Machines asked to be vacated: they count as their new share's until that has failed. */
@@ -74,6 +97,7 @@
     private readonly holder: Holder,
     private readonly cloud: Calls,
     private readonly peers: Calls,
+    private readonly workers: Calls,
   ) {
     this.#budget = new Budget(ctx.settings.cloud.rps * 0.9, 1.5, steadyNow());
   }
@@ -131,31 +155,51 @@
 
   /** A 200 is proof that the machines and all on them are gone. */
   async #returnMachines(): Promise<void> {
-    const { replica, settings } = this.ctx;
-    const most = Math.min(MAX_RETURN, settings.state.txnOps);
+    const { replica } = this.ctx;
     const ids: MachineId[] = [];
     for (const [id, m] of replica.machines)
-      if (m.value.stage === "retiring" && ids.length < most) ids.push(id);
-    if (ids.length === 0) return;
-    const r = await this.#cloudCall("POST", "/machines/return", returnBody(ids));
-    if (r?.status !== 200) return;
-    this.counters.returned += ids.length;
-    const present = ids.flatMap((id) => {
-      const m = replica.machines.get(id);
-      return m === undefined ? [] : [{ id, m }];
-    });
+      if (m.stage === "retiring" && !replica.isGone(id) && ids.length < MAX_RETURN) ids.push(id);
+    if (ids.length > 0) {
+      const r = await this.#cloudCall("POST", "/machines/return", returnBody(ids));
+      if (r?.status === 200) {
+        this.counters.returned += ids.length;
+        this.#forgetLater(ids);
+        const key = keys.gone(this.#name());
+        await this.#txn({
+          conditions: [{ key, rev: ABSENT }],
+          ops: [{ kind: "put", key, value: goneValue({ ids, at: timeOfDay() }) }],
+        });
+      }
+    }
+    await this.#dropGone();
+  }
+
+  #forgetLater(ids: readonly MachineId[]): void {
     for (const id of ids) this.#returned.add(id);
     for (const id of this.#returned) {
       if (this.#returned.size <= RETURNED_KEPT) break;
       this.#returned.delete(id);
     }
+  }
+
+  /** Named by this term of leadership: no two terms share a revision, no term a number. */
+  #name(): string {
+    return `${this.ctx.replica.leader?.rev}-${++this.#names}`;
+  }
+
+  /** Once its holders have closed what stood there, and no list shows it any more. */
+  async #dropGone(): Promise<void> {
+    const { replica, settings } = this.ctx;
+    const keptMs = 2000 * settings.cloud.listLagS + CLOUD_MS;
+    const over = [...replica.goneRecords].filter(
+      ([, g]) =>
+        timeOfDay() - g.value.at > keptMs && g.value.ids.every((id) => !replica.machines.has(id)),
+    );
+    if (over.length === 0) return;
+    const some = over.slice(0, settings.state.txnOps);
     await this.#txn({
-      conditions: present.map(({ id, m }) => ({ key: keys.machine(id), rev: m.rev })),
-      ops: present.map(({ id, m }) => ({
-        kind: "put",
-        key: keys.machine(id),
-        value: machineValue({ ...m.value, stage: "gone" }),
-      })),
+      conditions: some.map(([name, g]) => ({ key: keys.gone(name), rev: g.rev })),
+      ops: some.map(([name]) => ({ kind: "delete", key: keys.gone(name) })),
     });
   }
 
@@ -163,18 +207,21 @@
 
   /** Carries out written intents. A name is repeated until it has an answer, and never reused. */
   async #hire(): Promise<void> {
-    for (const [name, h] of [...this.ctx.replica.hires]) {
+    const open = [...this.ctx.replica.hires].filter(([name]) => !this.#hiring.has(name));
+    await Promise.all(open.map(([name, h]) => this.#hireOne(name, h)));
+  }
+
+  async #hireOne(name: string, h: Versioned<HireRecord>): Promise<void> {
+    this.#hiring.add(name);
+    try {
       const v = h.value;
-      const r = await this.#cloudCall(
-        "POST",
-        "/machines",
-        rentBody({ name, ...v, count: v.shares.length }),
-      );
+      const body = rentBody({ name, ...v, count: v.shares.length });
+      const r = await this.#cloudCall("POST", "/machines", body);
       if (r === undefined) return;
       const key = keys.hire(name);
       if (r.status === 200) {
-        await this.#hired(name, v, parseRented(r.body) ?? []);
-        continue;
+        await this.#hired(key, h.rev, v, parseRented(r.body) ?? []);
+        return;
       }
       const refused = r.status === 503 && String(JSON.stringify(r.body)).includes("no capacity");
       if (!refused && r.status !== 400) return;
@@ -183,6 +230,8 @@
         conditions: [{ key, rev: h.rev }],
         ops: [{ kind: "delete", key }],
       });
+    } finally {
+      this.#hiring.delete(name);
     }
   }
 
@@ -192,76 +241,120 @@
     this.#refusedUntil.set(offerKey(v.type, v.zone, v.spot), until);
   }
 
-  async #hired(name: string, v: HireRecord, ids: readonly MachineId[]): Promise<void> {
-    const { replica, settings } = this.ctx;
+  async #hired(
+    key: string,
+    rev: Revision,
+    v: HireRecord,
+    ids: readonly MachineId[],
+  ): Promise<void> {
     this.counters.rented += ids.length;
     if (ids.length < v.shares.length) this.#refuse(v);
-    const record = (id: MachineId): MachineRecord => ({
-      share: v.shares[ids.indexOf(id)] ?? shareNo(0),
-      type: v.type,
-      zone: v.zone,
-      spot: v.spot,
-      endpoint: "",
-      stage: "up",
-      rentedAt: timeOfDay(),
-    });
-    const fresh = ids.filter((id) => !replica.machines.has(id));
-    const step = Math.max(1, settings.state.txnOps - 1);
-    const key = keys.hire(name);
-    for (let i = 0; i === 0 || i < fresh.length; i += step) {
-      const part = fresh.slice(i, i + step);
-      const ops: Op[] = part.map((id) => ({
-        kind: "put",
-        key: keys.machine(id),
-        value: machineValue(record(id)),
-      }));
-      // The intent goes with the last part: until then a successor would ask again.
-      if (i + step >= fresh.length) ops.push({ kind: "delete", key });
-      const done = await this.#txn({
-        conditions: [
-          { key, rev: replica.rev(key) },
-          ...part.map((id) => ({ key: keys.machine(id), rev: ABSENT })),
-        ],
-        ops,
+    const { type, zone, spot } = v;
+    const row = { type, zone, spot, endpoint: "", stage: "up", rentedAt: timeOfDay() } as const;
+    const fresh = ids.flatMap((id, i) =>
+      this.#known(id) ? [] : [[id, { ...row, share: v.shares[i] ?? shareNo(0) }] as const],
+    );
+    await this.#enter(fresh, [{ key, rev }], [{ kind: "delete", key }]);
+  }
+
+  /** In the records, or on its way there: a machine must not stand in two pages. */
+  #known(id: MachineId): boolean {
+    return this.ctx.replica.machines.has(id) || this.#entering.has(id);
+  }
+
+  /** Writes new machines, a page for each share: few writes however many they are. */
+  async #enter(
+    rows: readonly (readonly [MachineId, NewMachine])[],
+    conditions: readonly Condition[],
+    ops: readonly Op[],
+  ): Promise<boolean> {
+    const { replica, settings } = this.ctx;
+    const floor = replica.latest;
+    const pages = new Map<ShareNo, [MachineId, MachineRecord][]>();
+    for (const [id, m] of rows) {
+      this.#entering.add(id);
+      const page = pages.get(m.share) ?? [];
+      pages.set(m.share, page);
+      page.push([id, { ...m, floor }]);
+    }
+    const most = Math.floor(pageLimit({ ...settings.state, size: settings.size }) / MACHINE_BYTES);
+    const puts: Op[] = [];
+    for (const [share, machines] of pages)
+      for (let i = 0; i < machines.length; i += most)
+        puts.push({
+          kind: "put",
+          key: keys.fleet(share, this.#name()),
+          value: fleetPageValue(machines.slice(i, i + most)),
+        });
+    const absent = puts.map((p) => ({ key: p.key, rev: ABSENT }));
+    try {
+      return await this.#txn({
+        conditions: [...conditions, ...absent],
+        ops: [...puts, ...ops],
       });
-      if (!done) return;
+    } finally {
+      for (const [id] of rows) this.#entering.delete(id);
     }
   }
 
   // ---- Unexpected machines ------------------------------------------------------------------
 
-  /** A machine that no record knows: from before our time, or from a request executed late. */
+  /**
+   * A machine that no record knows: from before our time, or from a request executed late. Its
+   * report may be a late copy from one that was returned long ago, under whatever leader: it is
+   * taken in once it has itself answered a question.
+   */
   adopt(r: Report): void {
-    void this.#adopt(r.machine, {
-      share: this.#neediestShare(),
-      type: r.type,
-      zone: r.zone,
-      spot: r.spot,
-      endpoint: r.endpoint,
+    if (this.#asking.has(r.machine) || this.#known(r.machine)) return;
+    if (this.#returned.has(r.machine) || this.ctx.replica.isGone(r.machine)) return;
+    if (this.#asking.size >= MOST_ASKED) return;
+    this.#asking.add(r.machine);
+    void this.#ask1(r).finally(() => this.#asking.delete(r.machine));
+  }
+
+  async #ask1(r: Report): Promise<void> {
+    const a = await this.workers.call(r.endpoint, "GET", "/status", undefined, STATUS_MS);
+    const own = a.kind === "answer" ? parseReport(a.body) : undefined;
+    if (own?.machine !== r.machine) return;
+    this.#adoptable.set(r.machine, {
+      type: own.type,
+      zone: own.zone,
+      spot: own.spot,
+      endpoint: own.endpoint,
       stage: "up",
       rentedAt: timeOfDay(),
     });
   }
 
-  async #adopt(id: MachineId, record: MachineRecord): Promise<void> {
-    if (this.#returned.has(id)) return;
-    const key = keys.machine(id);
-    const done = await this.#txn({
-      conditions: [{ key, rev: ABSENT }],
-      ops: [{ kind: "put", key, value: machineValue(record) }],
-    });
+  /** Takes in what has shown itself, many machines in one write. */
+  async adoptAll(): Promise<void> {
+    if (this.#adoptable.size === 0 || !this.ctx.synced || !this.membership.leads()) return;
+    const rows = [...this.#adoptable].filter(([id]) => !this.#known(id) && !this.#returned.has(id));
+    this.#adoptable.clear();
+    if (rows.length === 0) return;
+    const next = this.#sharesByLoad();
+    const done = await this.#enter(
+      rows.map(([id, m]) => [id, { ...m, share: next(m.type) }] as const),
+      [],
+      [],
+    );
     if (!done) return;
-    this.counters.adopted++;
-    this.ctx.log.info("machine adopted", { machine: id, share: record.share });
+    this.counters.adopted += rows.length;
+    this.ctx.log.info("machines adopted", { machines: rows.map(([id]) => id) });
   }
 
-  #neediestShare(): ShareNo {
+  /** Gives out shares, each time the one with the fewest processors. */
+  #sharesByLoad(): (type: string) => ShareNo {
     const load = Array.from({ length: this.ctx.settings.size }, () => 0);
-    for (const m of this.ctx.replica.machines.values()) {
-      const cpus = this.#type(m.value.type)?.capacity.cpus ?? 1;
-      load[m.value.share] = (load[m.value.share] ?? 0) + cpus;
-    }
-    return shareNo(load.indexOf(Math.min(...load)));
+    const add = (share: ShareNo, type: string): void => {
+      load[share] = (load[share] ?? 0) + (this.#type(type)?.capacity.cpus ?? 1);
+    };
+    for (const m of this.ctx.replica.machines.values()) add(m.share, m.type);
+    return (type) => {
+      const share = shareNo(load.indexOf(Math.min(...load)));
+      add(share, type);
+      return share;
+    };
   }
 
   /** Seldom: for machines that nobody reports, that failed, or that never boot. */
@@ -269,18 +362,18 @@
     const now = steadyNow();
     if (now - this.#listAt < LIST_EVERY_MS) return;
     this.#listAt = now;
+    const { replica, settings } = this.ctx;
     let after: string | undefined;
+    const failed: MachineId[] = [];
     for (;;) {
       const r = await this.#cloudCall("GET", listPath(after));
       const page = r?.status === 200 ? parseMachineList(r.body) : undefined;
-      if (page === undefined) return;
+      if (page === undefined) break;
       for (const m of page.machines) {
-        const known = this.ctx.replica.machines.get(m.id);
-        if (known === undefined) {
-          const old = m.ageS > 2 * this.ctx.settings.cloud.listLagS + CLOUD_MS / 1000;
-          if (old && m.stage !== "failed")
-            await this.#adopt(m.id, {
-              share: this.#neediestShare(),
+        if (!this.#known(m.id)) {
+          const old = m.ageS > 2 * settings.cloud.listLagS + CLOUD_MS / 1000;
+          if (old && m.stage !== "failed" && !this.#returned.has(m.id) && !replica.isGone(m.id))
+            this.#adoptable.set(m.id, {
               type: m.type,
               zone: m.zone,
               spot: m.spot,
@@ -288,22 +381,12 @@
               stage: "up",
               rentedAt: timeOfDay(),
             });
-        } else if (m.stage === "failed") await this.#retire(m.id, "failed");
+        } else if (m.stage === "failed") failed.push(m.id);
       }
-      if (!page.more || page.machines.length === 0) return;
+      if (!page.more || page.machines.length === 0) break;
       after = page.machines[page.machines.length - 1]?.id;
     }
-  }
-
-  async #retire(id: MachineId, reason: string): Promise<void> {
-    const m = this.ctx.replica.machines.get(id);
-    if (m === undefined || m.value.stage !== "up") return;
-    this.ctx.log.info("machine retired", { machine: id, reason });
-    const key = keys.machine(id);
-    await this.#txn({
-      conditions: [{ key, rev: m.rev }],
-      ops: [{ kind: "put", key, value: machineValue({ ...m.value, stage: "retiring" }) }],
-    });
+    if (failed.length > 0) await this.#ask([], failed, "failed");
   }
 
   // ---- Planning -----------------------------------------------------------------------------
@@ -314,14 +397,14 @@
 
   #demand(dtS: number): readonly DemandGroup[] {
     const { replica, settings, operators } = this.ctx;
-    const jobs = [...replica.jobs].map(([id, j]) => [id, j.value] as const);
+    const jobs = [...replica.allJobs()];
     const d = demandOf({
       jobs,
       shareOf: replica.teams?.value ?? new Map(),
       teams: this.ctx.teams,
       owed: owedJobs(jobs, this.ctx.teams),
       objectives: settings.objectives,
-      runS: (j) => this.holder.runS(j.spec),
+      runS: (j) => this.holder.held.runS(j.spec),
       bootS: Math.min(...(replica.types?.value ?? []).map((t) => t.bootS)),
       headroom: operators.headroom,
       patience: operators.patience,
@@ -347,25 +430,23 @@
     this.#plannedAt = now;
     const machines: FleetMachine[] = [];
     const late: MachineId[] = [];
-    const owed = owedJobs(
-      [...replica.jobs].map(([id, j]) => [id, j.value] as const),
-      this.ctx.teams,
-    );
+    const owed = owedJobs(replica.allJobs(), this.ctx.teams);
     const seen = new Map<string, Mono>();
     for (const [id, m] of replica.machines) {
-      const type = this.#type(m.value.type);
-      if (m.value.stage !== "up" || type === undefined) continue;
-      const open = replica.openOn(id);
+      const type = this.#type(m.type);
+      if (m.stage !== "up" || type === undefined || replica.isGone(id)) continue;
+      const work = replica.work(m.share);
+      const open = work.openOn(id);
       if (open.size > 0) this.#idleSince.delete(id);
       else if (!this.#idleSince.has(id)) this.#idleSince.set(id, now);
       const vacated = this.#vacating.get(id);
-      if (vacated !== undefined && (vacated.until <= now || m.value.share === vacated.to))
+      if (vacated !== undefined && (vacated.until <= now || m.share === vacated.to))
         this.#vacating.delete(id);
       const given = this.#vacating.get(id)?.to;
       let use = NOTHING;
       const tasks: FleetMachine["tasks"][number][] = [];
       for (const [task, o] of open) {
-        const job = replica.jobs.get(o.job)?.value;
+        const job = work.jobs.get(o.job);
         if (job === undefined || given !== undefined) continue;
         use = plus(use, job.spec.needs);
         const key = attemptKey(task, o.attempt);
@@ -378,18 +459,18 @@
         const rank = owed.has(o.job) ? -1 : rankOrder(job.spec.rank);
         tasks.push({ rank, needs, lossS });
       }
-      const heldS = Math.max(0, (timeOfDay() - m.value.rentedAt) / 1000);
-      const up = m.value.endpoint !== "";
+      const heldS = Math.max(0, (timeOfDay() - m.rentedAt) / 1000);
+      const up = m.endpoint !== "";
       if (!up && heldS > type.bootS * operators.bootPatience + settings.workers.reportS) {
         late.push(id);
         continue;
       }
       machines.push({
         id,
-        share: given ?? m.value.share,
+        share: given ?? m.share,
         type,
-        zone: m.value.zone,
-        spot: m.value.spot,
+        zone: m.zone,
+        spot: m.spot,
         up,
         use,
         open: given === undefined ? open.size : 0,
@@ -401,7 +482,7 @@
     for (const id of [...this.#idleSince.keys()])
       if (!replica.machines.has(id)) this.#idleSince.delete(id);
     this.#openSince = seen;
-    for (const id of late) await this.#retire(id, "never booted");
+    if (late.length > 0) await this.#ask([], late, "never booted");
     for (const [key, until] of this.#refusedUntil) if (until <= now) this.#refusedUntil.delete(key);
     const plan = planFleet({
       types,
@@ -409,7 +490,7 @@
       demand: this.#demand(dtS),
       refused: new Set(this.#refusedUntil.keys()),
       idleReturnS: operators.idleReturnS,
-      maxRents: MAX_RENT,
+      maxRents: MAX_RENT * Math.max(1, Math.floor(settings.cloud.rps)),
       lifeS: operators.lifeS,
       size: settings.size,
     });
@@ -424,9 +505,7 @@
     const { replica } = this.ctx;
     for (const share of replica.shares.keys()) {
       const own = machines.filter((m) => m.share === share);
-      const jobs = [...replica.jobs.values()].filter(
-        ({ value: j }) => replica.teams?.value.get(j.spec.team) === share,
-      );
+      const jobs = [...replica.work(share).jobs.values()];
       const cpus = (some: readonly FleetMachine[]): number =>
         some.reduce((n, m) => n + m.type.capacity.cpus, 0);
       this.ctx.log.debug("plan", {
@@ -435,7 +514,7 @@
         bootingCpus: cpus(own.filter((m) => !m.up)),
         usedCpus: own.reduce((n, m) => n + m.use.cpus, 0),
         emptyCpus: cpus(own.filter((m) => m.up && m.open === 0)),
-        waitingCpus: jobs.reduce((n, { value: j }) => n + waitingCount(j) * j.spec.needs.cpus, 0),
+        waitingCpus: jobs.reduce((n, j) => n + waitingCount(j) * j.spec.needs.cpus, 0),
         levels: [...this.#levels].map(
           ([key, n]) => `${key.split("|")[0]}.${key.split("|").pop()}=${n.toFixed(1)}`,
         ),
@@ -449,13 +528,15 @@
   async #intend(rents: readonly Rent[]): Promise<void> {
     const { replica, settings } = this.ctx;
     if (rents.length === 0 || replica.hires.size > 0) return;
-    const lead = replica.leader;
-    if (lead === undefined) return;
-    // Named by this term of leadership: no two terms share a revision, no term a number.
-    const some = rents.slice(0, Math.min(settings.state.txnOps, 8)).map((r) => ({
-      name: `${lead.rev}-${++this.#names}`,
-      r: { ...r, shares: r.shares.slice(0, MAX_RENT) },
-    }));
+    const calls = rents.flatMap((r) => {
+      const parts: Rent[] = [];
+      for (let i = 0; i < r.shares.length; i += MAX_RENT)
+        parts.push({ ...r, shares: r.shares.slice(i, i + MAX_RENT) });
+      return parts;
+    });
+    const some = calls
+      .slice(0, Math.min(settings.state.txnOps, MOST_HIRES))
+      .map((r) => ({ name: this.#name(), r }));
     const done = await this.#txn({
       conditions: some.map((x) => ({ key: keys.hire(x.name), rev: ABSENT })),
       ops: some.map((x) => ({
@@ -468,11 +549,15 @@
   }
 
   /** Moves and returns are the holder's to carry out: it alone knows that a machine is free. */
-  async #ask(moves: readonly MoveRequest[], returns: readonly MachineId[]): Promise<void> {
+  async #ask(
+    moves: readonly MoveRequest[],
+    returns: readonly MachineId[],
+    reason?: string,
+  ): Promise<void> {
     const { replica, settings, me } = this.ctx;
     const byHolder = new Map<string, { moves: MoveRequest[]; retire: MachineId[] }>();
     const entry = (id: MachineId) => {
-      const share = replica.machines.get(id)?.value.share;
+      const share = replica.machines.get(id)?.share;
       const label = share === undefined ? undefined : this.membership.holderOf(share)?.label;
       if (label === undefined) return undefined;
       const e = byHolder.get(label) ?? { moves: [], retire: [] };
@@ -485,13 +570,18 @@
     for (const [label, e] of byHolder) {
       if (label === me.label) {
         for (const m of e.moves) this.holder.requestMove(m);
-        for (const id of e.retire) this.holder.requestRetire(id);
+        for (const id of e.retire) this.holder.requestRetire(id, reason);
         continue;
       }
       const seed = settings.seeds.find((s) => s.label === label);
       const address = seed === undefined ? undefined : addressOf(settings, seed.label);
       if (address === undefined) continue;
-      const payload = encodePeer({ from: me.label, moves: e.moves, retire: e.retire });
+      const payload = encodePeer({
+        from: me.label,
+        moves: e.moves,
+        retire: e.retire,
+        reason: reason ?? "",
+      });
       void this.peers.raw(address, "POST", "/peer", payload, PEER_MS);
     }
   }
--- /dev/null
+++ b/src/coordination/machines.ts
@@ -0,0 +1,150 @@
+import type { MachineId, Mono, Revision } from "../protocol/ids.js";
+import { MACHINE_BYTES } from "../storage/pages.js";
+import { keys, type MachineRecord } from "../storage/records.js";
+import type { FleetPage } from "../storage/replica.js";
+import { pageLimit } from "./batch.js";
+import type { ShareRound } from "./closing.js";
+import type { Held } from "./held.js";
+import { needsBump } from "./session.js";
+
+/** What is to become of a machine's record. */
+type Change =
+  | { readonly kind: "drop" }
+  | { readonly kind: "move"; readonly to: MachineRecord }
+  /** `lazy`: worth a write only if its page is written anyway, or after a while. */
+  | { readonly kind: "put"; readonly to: MachineRecord; readonly lazy: boolean };
+
+/** How long an endpoint may wait for company before its page is written for it alone. */
+const LAZY_MS = 1500;
+/** Pages are joined while together they take at most this part of what one may. */
+const JOIN_PART = 0.7;
+
+/** Records of machines: those proved gone, endpoints, bumps, moves between shares, retirement. */
+export class MachineRecords {
+  readonly #lazySince = new Map<string, Mono>();
+  #names = 0;
+
+  constructor(private readonly held: Held) {}
+
+  /** Returns the machines whose records this round changes: nothing is started on them. */
+  tend(round: ShareRound): ReadonlySet<MachineId> {
+    const { held } = this;
+    const { replica } = held.ctx;
+    const edited = new Set<MachineId>();
+    const pages: [string, FleetPage][] = [];
+    for (const [key, page] of replica.fleetPages)
+      if (page.share === round.share) pages.push([key, page]);
+    for (const [key, page] of pages) {
+      const changes = new Map<MachineId, Change>();
+      let pressing = false;
+      for (const [id, m] of page.machines) {
+        const change = this.#change(id, m, round);
+        if (change === undefined) continue;
+        changes.set(id, change);
+        if (change.kind !== "put" || !change.lazy) pressing = true;
+      }
+      if (changes.size === 0) {
+        this.#lazySince.delete(key);
+        continue;
+      }
+      if (!pressing) {
+        const since = this.#lazySince.get(key) ?? round.now;
+        this.#lazySince.set(key, since);
+        if (round.now - since < LAZY_MS) continue;
+      }
+      if (this.#write(key, changes, round, edited)) this.#lazySince.delete(key);
+    }
+    this.#join(pages, round);
+    return edited;
+  }
+
+  #write(
+    key: string,
+    changes: ReadonlyMap<MachineId, Change>,
+    round: ShareRound,
+    edited: Set<MachineId>,
+  ): boolean {
+    const { held } = this;
+    const { replica } = held.ctx;
+    const machines = round.batch.editFleet(key);
+    if (machines === undefined) return false;
+    for (const [id, change] of changes) {
+      if (change.kind === "drop") machines.delete(id);
+      else if (change.kind === "move") {
+        const share = replica.shares.get(round.share)?.rev;
+        const page = round.batch.newFleet(keys.fleet(change.to.share, `${share}-${this.#names}`));
+        if (page === undefined) continue;
+        machines.delete(id);
+        page.set(id, change.to);
+        edited.add(id);
+      } else {
+        machines.set(id, change.to);
+        if (!change.lazy) edited.add(id);
+        if (change.to.stage === "up") round.call.add(id);
+        else held.note(id).move = null;
+      }
+    }
+    return true;
+  }
+
+  /** A new name for the pages of the next round's moves. */
+  nextNames(): void {
+    this.#names++;
+  }
+
+  #change(id: MachineId, m: MachineRecord, round: ShareRound): Change | undefined {
+    const { held } = this;
+    const { replica } = held.ctx;
+    const open = replica.work(round.share).openOn(id).size;
+    if (replica.isGone(id))
+      return open === (round.closed.get(id)?.size ?? 0) ? { kind: "drop" } : undefined;
+    const s = held.sessions.get(id);
+    if (s === undefined || m.stage !== "up") return undefined;
+    const note = held.note(id);
+    const empty = open === 0;
+    if (note.retire !== null && (note.retire.force || empty)) {
+      held.ctx.log.info("machine retired", { machine: id, reason: note.retire.reason });
+      return { kind: "put", to: { ...m, stage: "retiring" }, lazy: false };
+    }
+    const endpoint = s.report?.endpoint ?? m.endpoint;
+    if (note.move !== null) {
+      const { to, vacate } = note.move;
+      const proved = empty && s.tasks.size === 0 && (s.state === "ready" || s.report === undefined);
+      if (proved || !vacate) note.move = null;
+      const floor = this.#above(held.tokenOf(m));
+      if (proved && to !== m.share && floor !== undefined)
+        return { kind: "move", to: { ...m, share: to, endpoint, floor } };
+    }
+    if (needsBump(s)) {
+      const floor = this.#above(held.tokenOf(m));
+      if (floor !== undefined) return { kind: "put", to: { ...m, endpoint, floor }, lazy: false };
+    }
+    if (endpoint !== m.endpoint) return { kind: "put", to: { ...m, endpoint }, lazy: true };
+    return undefined;
+  }
+
+  /**
+   * A revision above a token that was in force: whoever commands under it, or takes the share
+   * over later, can't be taken for the one before.
+   */
+  #above(old: number): Revision | undefined {
+    const { latest } = this.held.ctx.replica;
+    return latest > old ? latest : undefined;
+  }
+
+  /** Small pages, as rents and moves leave them, are joined into one that is written anyway. */
+  #join(pages: readonly (readonly [string, FleetPage])[], round: ShareRound): void {
+    const { ctx } = this.held;
+    if (pages.length < 3 || ctx.store.writeLevel() < 0.6) return;
+    const limit = pageLimit({ ...ctx.settings.state, size: ctx.settings.size }) * JOIN_PART;
+    const small = [...pages].sort((a, b) => a[1].machines.size - b[1].machines.size);
+    const [first, second] = small;
+    if (first === undefined || second === undefined) return;
+    if ((first[1].machines.size + second[1].machines.size) * MACHINE_BYTES > limit) return;
+    const into = round.batch.editFleet(second[0]);
+    const from = into === undefined ? undefined : round.batch.editFleet(first[0]);
+    if (into === undefined || from === undefined) return;
+    for (const [id, m] of from) into.set(id, m);
+    from.clear();
+  }
+}
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -10,11 +10,24 @@
 import { absorb, type Context, refresh } from "../service/context.js";
 import { type Holder, holderValue, keys, sameHolder, teamsValue } from "../storage/records.js";
 import { steadyNow } from "../transport/clock.js";
+import { HEALTHY, type Health, type Standing, stepHealth } from "./health.js";
 import { assignTeams, planShares } from "./shares.js";
 
+/** A controller that can't reach its machines stays away for this long before it tries again. */
+const RESIGNED_MS = 10_000;
+const RESIGNED_MOST_MS = 80_000;
+/** How far back others' writes are counted. */
+const WRITES_OVER_S = 2;
+
 /** This controller's place among the others: its lease, its shares, its claim to leadership. */
 export class Membership {
   #lease: LeaseId | undefined;
+  #health: Health = HEALTHY;
+  #resignedUntil: Mono = mono(0);
+  #resignedMs = 0;
+  #othersWrites = 0;
+  #countedAt: Mono = steadyNow();
+  #counted = 0;
   #renewedAt: Mono = mono(0);
   readonly #memberSince = new Map<string, Mono>();
   #busy = false;
@@ -26,6 +39,62 @@
     return sameHolder(this.ctx.replica.members.get(this.ctx.me.label)?.value, this.ctx.me);
   }
 
+  get standing(): Standing {
+    return this.#health.standing;
+  }
+
+  /**
+   * May it act for the controllers? Not once its lease must have run out while others are served:
+   * they are taking its shares, and a worker that is kept here would only lose its lease.
+   */
+  entitled(): boolean {
+    return this.#health.standing !== "alone" && steadyNow() >= this.#resignedUntil;
+  }
+
+  look(peers: { readonly served: number; readonly heard: number }): Standing {
+    const { store, log } = this.ctx;
+    const next = stepHealth(this.#health, {
+      now: steadyNow(),
+      answeredAt: store.answeredAt,
+      refusedAt: store.refusedAt,
+      unansweredAt: store.unansweredAt,
+      peersServed: peers.served,
+      peersHeard: peers.heard,
+    });
+    if (next.standing !== this.#health.standing) log.info("standing", { standing: next.standing });
+    this.#health = next;
+    return next.standing;
+  }
+
+  /** Steps aside, so that others take what is held here: the way to its machines is gone. */
+  async resign(): Promise<void> {
+    const lease = this.#lease;
+    this.#lease = undefined;
+    const now = steadyNow();
+    // Still without a way after it came back: each time it stays away for longer.
+    const again = now - this.#resignedUntil < RESIGNED_MOST_MS && this.#resignedMs > 0;
+    this.#resignedMs = again ? Math.min(RESIGNED_MOST_MS, 2 * this.#resignedMs) : RESIGNED_MS;
+    this.#resignedUntil = mono(now + this.#resignedMs);
+    this.ctx.log.info("resigned", { shares: this.heldShares() });
+    if (lease !== undefined) await this.ctx.store.release(lease);
+  }
+
+  /** Takes in how many changes the watch has shown that were not ours. */
+  othersWrote(n: number): void {
+    this.#counted += n;
+  }
+
+  #shareBudget(members: number): void {
+    const now = steadyNow();
+    const dtS = (now - this.#countedAt) / 1000;
+    if (dtS <= 0) return;
+    const old = Math.exp(-dtS / WRITES_OVER_S);
+    this.#othersWrites = this.#othersWrites * old + (this.#counted / dtS) * (1 - old);
+    this.#counted = 0;
+    this.#countedAt = now;
+    this.ctx.store.shareWith(members, this.#othersWrites);
+  }
+
   leads(): boolean {
     const l = this.ctx.replica.leader;
     return l !== undefined && sameHolder(l.value, this.ctx.me);
@@ -64,6 +133,7 @@
   /** Keeps the lease alive; a lapsed one is replaced, with the member record on it. */
   async keepLease(): Promise<void> {
     const { store, operators } = this.ctx;
+    if (steadyNow() < this.#resignedUntil) return;
     if (this.#lease !== undefined) {
       const r = await store.renew(this.#lease);
       if (r === "renewed") this.#renewedAt = steadyNow();
@@ -127,7 +197,7 @@
       this.#memberSince.set(m.incarnation, since);
       if (now - since >= ctx.operators.handBackS * 1000) steady.add(m.label);
     }
-    ctx.store.shareWith(Math.max(1, members.size));
+    this.#shareBudget(Math.max(1, members.size));
     const plan = planShares({
       me,
       size: ctx.settings.size,
--- a/src/coordination/notes.ts
+++ b/src/coordination/notes.ts
@@ -1,4 +1,4 @@
-import type { JobId, MachineId, Mono, ShareNo } from "../protocol/ids.js";
+import { type JobId, type MachineId, type Mono, mono, type ShareNo } from "../protocol/ids.js";
 
 /**
  * What a holder remembers beside the records. All of it may be lost with the process: it steers
@@ -34,9 +34,33 @@
   directAgain: boolean;
   /** The last time a call of ours was sent there. */
   calledAt: Mono;
+  /** Calls of ours in a row without an answer, and nothing heard in between. */
   failedCalls: number;
+  /** The same whatever was heard in between, and since when: reports alone prove no way to it. */
+  deafCalls: number;
+  deafSince: Mono;
 }
 
+export const newMachineNote = (): MachineNote => ({
+  images: new Map(),
+  failedJobs: new Set(),
+  failures: 0,
+  retire: null,
+  move: null,
+  directBusy: false,
+  directAgain: false,
+  calledAt: mono(0),
+  failedCalls: 0,
+  deafCalls: 0,
+  deafSince: mono(0),
+});
+
+export const newJobNote = (): JobNote => ({
+  failures: 0,
+  notBefore: mono(0),
+  failedOn: new Set(),
+});
+
 export const useImage = (note: MachineNote, image: string, gb: number, cacheGb: number): void => {
   note.images.delete(image);
   note.images.set(image, gb);
--- /dev/null
+++ b/src/coordination/placing.ts
@@ -0,0 +1,395 @@
+import {
+  type AttemptNo,
+  attemptNo,
+  type JobId,
+  type MachineId,
+  type Mono,
+  type ShareNo,
+  splitTask,
+  type TaskId,
+  taskId,
+} from "../protocol/ids.js";
+import { type JobSpec, type Resources, rankOrder } from "../protocol/jobs.js";
+import { slackS, targetsOf } from "../scheduling/objectives.js";
+import { owedJobs, type Queued, queueOrder } from "../scheduling/order.js";
+import {
+  choosePlace,
+  contenders,
+  distinctNeeds,
+  occupy,
+  type Place,
+  permitted,
+  type ZoneCounts,
+} from "../scheduling/placement.js";
+import { cheapestRoom, type Ground, mayPreempt, type Victim } from "../scheduling/preempt.js";
+import { ENDLESS, fitsBeside, lesser, minus, NOTHING, plus } from "../scheduling/resources.js";
+import { type SwarmMachine, type SwarmTask, swarmRound } from "../scheduling/swarm.js";
+import { OPEN_BYTES, progressBytes } from "../storage/pages.js";
+import { rangesMissing } from "../storage/ranges.js";
+import { type LiveJob, type OpenAttempt, waitingCount } from "../storage/records.js";
+import { timeOfDay } from "../transport/clock.js";
+import { pageLimit } from "./batch.js";
+import type { ShareRound } from "./closing.js";
+import type { Held } from "./held.js";
+import { attemptKey } from "./session.js";
+
+/** How long a place is kept for a task that moves. */
+const MOVE_MS = 10_000;
+/** Most tasks a round makes room for: each looks at all that stands in the share. */
+const PREEMPTS_A_ROUND = 24;
+
+const NO_CLOSED: ReadonlySet<TaskId> = new Set();
+
+/** Where a job's other open attempts stand, as `oneZone` and `apart` judge them. */
+const zoneCounts = (held: Held, job: LiveJob): Map<string, number> => {
+  const zones = new Map<string, number>();
+  if (!job.spec.oneZone && !job.spec.apart) return zones;
+  for (const o of job.open) {
+    const zone = held.ctx.replica.machines.get(o.machine)?.zone ?? "";
+    zones.set(zone, (zones.get(zone) ?? 0) + 1);
+  }
+  return zones;
+};
+
+/** Machines of the share that take tasks, with what stands on them once this round is written. */
+const placesOf = (
+  held: Held,
+  share: ShareNo,
+  closed: ReadonlyMap<MachineId, ReadonlySet<TaskId>>,
+  edited: ReadonlySet<MachineId>,
+): Map<MachineId, Place> => {
+  const { replica } = held.ctx;
+  const work = replica.work(share);
+  const out = new Map<MachineId, Place>();
+  const types = replica.types?.value ?? [];
+  const shapes = distinctNeeds([...work.jobs.values()].map((j) => j.spec.needs));
+  const byName = new Map(
+    types.map((type) => [type.name, { type, rivals: contenders(type.capacity, shapes) }]),
+  );
+  for (const [id, s] of held.sessions) {
+    const m = replica.machines.get(id);
+    if (m === undefined || m.share !== share || m.stage !== "up") continue;
+    if (s.state !== "ready" || s.report?.noticeS != null || edited.has(id)) continue;
+    if (replica.isGone(id)) continue;
+    const known = byName.get(m.type);
+    const note = held.note(id);
+    if (known === undefined || note.retire !== null || note.move !== null) continue;
+    if (note.deafCalls > 1) continue;
+    let use: Resources = NOTHING;
+    let least: Resources = ENDLESS;
+    const gone = closed.get(id) ?? NO_CLOSED;
+    for (const [task, o] of work.openOn(id)) {
+      const needs = work.jobs.get(o.job)?.spec.needs;
+      if (needs === undefined || gone.has(task)) continue;
+      use = plus(use, needs);
+      least = lesser(least, needs);
+    }
+    out.set(id, {
+      id,
+      type: m.type,
+      zone: m.zone,
+      spot: m.spot,
+      capacity: known.type.capacity,
+      use,
+      least,
+      price: m.spot ? known.type.spotPrice : known.type.price,
+      fetchGbPerS: known.type.fetchGbPerS,
+      images: note.images,
+      contenders: known.rivals,
+    });
+  }
+  for (const [task, x] of held.incoming) {
+    const place = out.get(x.to);
+    const needs = work.jobs.get(splitTask(task).job)?.spec.needs;
+    if (place !== undefined && needs !== undefined) occupy(place, needs);
+  }
+  return out;
+};
+
+/** The paper's period: tasks cheap to restart leave machines that can be emptied. */
+export const swarm = (held: Held, share: ShareNo, now: Mono): void => {
+  const { replica, operators, random, log } = held.ctx;
+  const work = replica.work(share);
+  // While tasks wait, every freed place fills anyway.
+  for (const j of work.jobs.values()) if (waitingCount(j) > 0) return;
+  const places = placesOf(held, share, new Map(), new Set());
+  const machines: SwarmMachine[] = [];
+  for (const p of places.values()) {
+    const tasks: SwarmTask[] = [];
+    let use = p.use;
+    for (const [task, o] of work.openOn(p.id)) {
+      const job = work.jobs.get(o.job);
+      if (job === undefined) continue;
+      const note = held.attempts.get(attemptKey(task, o.attempt));
+      // A job that fails everywhere would draw tasks back and forth: it is no part of n.
+      const failing = (held.jobs.get(o.job)?.failures ?? 0) > 0;
+      if (note?.stop != null || failing || job.cancelledAt !== null) {
+        use = minus(use, job.spec.needs);
+        continue;
+      }
+      const zones = zoneCounts(held, job);
+      zones.set(p.zone, Math.max(0, (zones.get(p.zone) ?? 0) - 1));
+      tasks.push({
+        task,
+        needs: job.spec.needs,
+        lossS: held.lossS(job, note, now),
+        allowed: (to) => {
+          const d = places.get(to);
+          if (d === undefined || !permitted(job.spec, d, zones)) return false;
+          return d.images.has(job.spec.image) || job.spec.imageGb <= d.fetchGbPerS;
+        },
+      });
+    }
+    machines.push({ id: p.id, capacity: p.capacity, use, tasks });
+  }
+  const moves = swarmRound(machines, random, {
+    cap: operators.swarmMoves,
+    maxLossS: operators.swarmMaxLossS,
+  });
+  for (const m of moves) {
+    const o = work.openOn(m.from).get(m.task);
+    const job = o === undefined ? undefined : work.jobs.get(o.job);
+    if (o === undefined || job === undefined) continue;
+    held.stop(attemptKey(m.task, o.attempt), m.from, "moved", job.spec.saveS);
+    held.keep(m.task, m.to, MOVE_MS);
+    held.counters.moves++;
+    log.debug("move", { task: m.task, from: m.from, to: m.to });
+  }
+};
+
+/** One share's waiting work laid over its machines: starts, and stops that make room for them. */
+export class Placing {
+  readonly #places: Map<MachineId, Place>;
+  readonly #owed: ReadonlySet<JobId>;
+  #preempts = 0;
+
+  constructor(
+    private readonly held: Held,
+    private readonly round: ShareRound,
+    edited: ReadonlySet<MachineId>,
+  ) {
+    this.#places = placesOf(held, round.share, round.closed, edited);
+    this.#owed = owedJobs(this.#jobs(), held.ctx.teams);
+  }
+
+  /** Jobs of the share as this round writes them. */
+  *#jobs(): Iterable<readonly [JobId, LiveJob]> {
+    for (const [id, j] of this.held.ctx.replica.work(this.round.share).jobs)
+      yield [id, this.round.drafts.get(id) ?? j];
+  }
+
+  static waits(held: Held, round: ShareRound): boolean {
+    for (const [id, j] of held.ctx.replica.work(round.share).jobs)
+      if (waitingCount(round.drafts.get(id) ?? j) > 0) return true;
+    return false;
+  }
+
+  #queue(): readonly Queued[] {
+    const { held, round } = this;
+    const { replica, settings, operators } = held.ctx;
+    const at = timeOfDay();
+    const rates = (replica.types?.value ?? []).map((t) => t.fetchGbPerS);
+    const rate = rates.reduce((sum, r) => sum + r, 0) / Math.max(1, rates.length);
+    const waiting = [];
+    for (const [id, job] of this.#jobs()) {
+      if (waitingCount(job) <= 0 || (held.jobs.get(id)?.notBefore ?? 0) > round.now) continue;
+      waiting.push({
+        id,
+        job,
+        ageS: (at - job.acceptedAt) / 1000,
+        leadS: rate > 0 ? job.spec.imageGb / rate : 0,
+        runS: held.runS(job.spec),
+        owed: this.#owed.has(id),
+      });
+    }
+    return queueOrder(waiting, settings.objectives, operators.overdueS);
+  }
+
+  /** What a team's open attempts take: every one counts until it is closed. */
+  #teamUse(): Map<string, Resources> {
+    const out = new Map<string, Resources>();
+    for (const [, job] of this.#jobs()) {
+      const { team, needs } = job.spec;
+      const n = job.open.length;
+      const use = out.get(team) ?? NOTHING;
+      out.set(team, {
+        cpus: use.cpus + n * needs.cpus,
+        gpus: use.gpus + n * needs.gpus,
+        ramGb: use.ramGb + n * needs.ramGb,
+      });
+    }
+    return out;
+  }
+
+  run(): void {
+    if (this.#places.size === 0) return;
+    const use = this.#teamUse();
+    for (const w of this.#queue()) if (!this.#placeJob(w, use)) return;
+  }
+
+  /** False if the batch is full. */
+  #placeJob(w: Queued, use: Map<string, Resources>): boolean {
+    const { held, round } = this;
+    const { ctx } = held;
+    const { spec } = w.job;
+    const team = ctx.teams.get(spec.team);
+    const accepted = ctx.replica.accepted.get(w.id);
+    if (team === undefined || accepted === undefined) return true;
+    const failedOn = held.jobs.get(w.id)?.failedOn;
+    let candidates = [...this.#places.values()];
+    if (failedOn !== undefined && failedOn.size > 0)
+      candidates = candidates.filter((p) => !failedOn.has(p.id));
+    const zones = zoneCounts(held, w.job);
+    const taken = new Set(w.job.open.map((o) => o.index));
+    const indexes = rangesMissing(w.job.done, spec.tasks, taken, waitingCount(w.job));
+    let next = w.job.nextAttempt;
+    let used = use.get(spec.team) ?? NOTHING;
+    const starts: OpenAttempt[] = [];
+    let bytes = progressBytes(w.job);
+    const most = pageLimit({ ...ctx.settings.state, size: ctx.settings.size }) * 0.9;
+    let grounds: Ground[] | undefined;
+    const undo: (() => void)[] = [];
+    for (const index of indexes) {
+      const after = plus(used, spec.needs);
+      if (after.cpus > team.cpusMax + 1e-9 || after.gpus > team.gpusMax + 1e-9) break;
+      const task = taskId(w.id, index);
+      const place = this.#placeKept(task, spec, zones) ?? choosePlace(spec, candidates, zones);
+      if (place === null) {
+        if (w.slack > ctx.operators.preemptSlackS) break;
+        if (held.incoming.has(task)) continue;
+        if (this.#preempts >= PREEMPTS_A_ROUND) break;
+        grounds ??= this.#grounds(w, candidates, zones);
+        if (!this.#preempt(task, w, grounds)) break;
+        continue;
+      }
+      held.incoming.delete(task);
+      const attempt: AttemptNo = attemptNo(next);
+      bytes += OPEN_BYTES;
+      // An array whose open attempts fill a page runs in parts.
+      if (bytes > most) break;
+      next++;
+      starts.push({ index, attempt, machine: place.id });
+      used = after;
+      const before = { use: place.use, least: place.least };
+      undo.push(() => Object.assign(place, before));
+      occupy(place, spec.needs);
+      zones.set(place.zone, (zones.get(place.zone) ?? 0) + 1);
+    }
+    if (starts.length === 0) return true;
+    const job: LiveJob = { ...w.job, open: [...w.job.open, ...starts], nextAttempt: next };
+    const { done, open, nextAttempt } = job;
+    // A cancel that comes first must win.
+    const fits =
+      round.batch.requireJob(w.id, accepted.rev) &&
+      round.batch.putJob(round.share, w.id, { done, open, nextAttempt });
+    if (!fits) {
+      for (const u of undo.reverse()) u();
+      return false;
+    }
+    round.drafts.set(w.id, job);
+    use.set(spec.team, used);
+    held.counters.starts += starts.length;
+    for (const o of starts) round.call.add(o.machine);
+    this.#noteStarts(w, job, starts.length);
+    return true;
+  }
+
+  #noteStarts(w: Queued, job: LiveJob, starts: number): void {
+    const { ctx } = this.held;
+    const { spec } = w.job;
+    ctx.metrics.record(`start ${spec.jobClass}`, w.ageS * 1000);
+    if (!ctx.log.enabled("debug")) return;
+    ctx.log.debug("starts", {
+      job: w.id,
+      jobClass: spec.jobClass,
+      share: this.round.share,
+      tasks: spec.tasks,
+      starts,
+      waiting: waitingCount(job),
+      ageS: Math.round(w.ageS * 10) / 10,
+      runS: Math.round(w.runS),
+    });
+  }
+
+  /** The place kept for a task, if it fits there by now; its own keeping is no obstacle. */
+  #placeKept(task: TaskId, spec: JobSpec, zones: ZoneCounts): Place | null {
+    const x = this.held.incoming.get(task);
+    const place = x === undefined ? undefined : this.#places.get(x.to);
+    if (place === undefined || !permitted(spec, place, zones)) return null;
+    const without = minus(place.use, spec.needs);
+    if (!fitsBeside(spec.needs, without, place.capacity)) return null;
+    place.use = without;
+    this.held.incoming.delete(task);
+    return place;
+  }
+
+  /** What may be stopped for a job, by machine. */
+  #grounds(by: Queued, candidates: readonly Place[], zones: ZoneCounts): Ground[] {
+    const { held, round } = this;
+    const { replica, operators, settings } = held.ctx;
+    const work = replica.work(round.share);
+    const { spec } = by.job;
+    const me = { rank: rankOrder(spec.rank), owed: by.owed, team: spec.team };
+    const at = timeOfDay();
+    // What is dear about a victim is its job's: worked out once.
+    const dear = new Map<JobId, number>();
+    const dearOf = (id: JobId, job: LiveJob): number => {
+      let d = dear.get(id);
+      if (d === undefined) {
+        // The nearer its own objective, the dearer: else the same young tasks of the same jobs
+        // are stopped again and again, each time at little loss, until their job is late.
+        const targets = targetsOf(job.spec, settings.objectives, this.#owed.has(id));
+        const slack = slackS(targets, (at - job.acceptedAt) / 1000, held.runS(job.spec));
+        d = Math.max(0, operators.spareSlackS - slack);
+        dear.set(id, d);
+      }
+      return d;
+    };
+    const grounds: Ground[] = [];
+    for (const p of candidates) {
+      if (!permitted(spec, p, zones)) continue;
+      const victims: Victim[] = [];
+      for (const [t, o] of work.openOn(p.id)) {
+        const job = work.jobs.get(o.job);
+        const note = held.attempts.get(attemptKey(t, o.attempt));
+        if (job === undefined || job.cancelledAt !== null || note?.stop != null) continue;
+        const { rank, team, needs, saveS } = job.spec;
+        if (!mayPreempt(me, { rank: rankOrder(rank), owed: this.#owed.has(o.job), team })) continue;
+        const lossS = held.lossS(job, note, round.now) + saveS + dearOf(o.job, job);
+        victims.push({ task: t, needs, lossS });
+      }
+      if (victims.length > 0) grounds.push({ id: p.id, free: minus(p.capacity, p.use), victims });
+    }
+    return grounds;
+  }
+
+  /** Stops what loses least to make room for a task, and keeps the room for it. */
+  #preempt(task: TaskId, by: Queued, grounds: Ground[]): boolean {
+    const { held, round } = this;
+    const work = held.ctx.replica.work(round.share);
+    const { needs } = by.job.spec;
+    const room = cheapestRoom(needs, grounds, held.ctx.operators.preemptMaxLossS);
+    if (room === null) return false;
+    this.#preempts++;
+    const place = this.#places.get(room.machine);
+    for (const v of room.victims) {
+      const o = work.openOn(room.machine).get(v.task);
+      const job = o === undefined ? undefined : work.jobs.get(o.job);
+      if (o === undefined || job === undefined) continue;
+      held.stop(attemptKey(v.task, o.attempt), room.machine, "preempted", job.spec.saveS);
+      held.counters.preempted++;
+      // Its room is on its way: what the newcomer needs of it is taken below.
+      if (place !== undefined) place.use = minus(place.use, v.needs);
+    }
+    if (place !== undefined) occupy(place, needs);
+    held.keep(task, room.machine, MOVE_MS);
+    round.call.add(room.machine);
+    const at = grounds.findIndex((g) => g.id === room.machine);
+    const g = grounds[at];
+    if (g !== undefined && place !== undefined) {
+      const victims = g.victims.filter((v) => !room.victims.includes(v));
+      grounds[at] = { id: g.id, free: minus(place.capacity, place.use), victims };
+    }
+    return true;
+  }
+}
--- a/src/coordination/session.ts
+++ b/src/coordination/session.ts
@@ -97,7 +97,7 @@
     const kept = [...sent].filter(([, x]) => x.token >= s.token);
     if (kept.length < sent.size) sent = new Map(kept);
   }
-  return {
+  const next: Session = {
     ...s,
     state: shown ? "ready" : "claiming",
     report,
@@ -106,6 +106,10 @@
     beats: e.via === "beat" ? s.beats + 1 : s.beats,
     sent,
   };
+  // What is settled need not be remembered: else it grows with every task ever started there.
+  if (sent.size === 0) return next;
+  const open = [...sent].filter(([key]) => !settled(next, key));
+  return open.length === sent.size ? next : { ...next, sent: new Map(open) };
 };
 
 /** The one place where a session changes. */
--- /dev/null
+++ b/src/coordination/workers.ts
@@ -0,0 +1,281 @@
+import { type MachineId, type Mono, mono, type TaskId } from "../protocol/ids.js";
+import {
+  beatAnswer,
+  type Order,
+  ordersBody,
+  parseReport,
+  type Report,
+  redirectBody,
+  type TaskReport,
+} from "../protocol/workers.js";
+import { refresh } from "../service/context.js";
+import { keys } from "../storage/records.js";
+import type { Calls } from "../transport/client.js";
+import { steadyNow } from "../transport/clock.js";
+import type { Answer } from "../transport/server.js";
+import type { Held } from "./held.js";
+import { type MachineNote, useImage } from "./notes.js";
+import { attemptKey, newSession, ordersFor, type Session, type Wanted } from "./session.js";
+
+/** How long a direct call to a worker may take. */
+const DIRECT_MS = 1200;
+/** How late a report may be before its machine is called, and how often that is done. */
+const OVERDUE_MS = 300;
+const PROBE_EVERY_MS = 1500;
+const WATCH_EVERY_MS = 200;
+/** Calls in a row without an answer that make a machine mute, or deaf though it reports. */
+const MUTE_CALLS = 2;
+const DEAF_CALLS = 4;
+/** With this part of its machines out of reach, the trouble is the controller's own. */
+const BLIND_PART = 0.8;
+const BLIND_LEAST = 4;
+
+/** All that is said between a holder and its machines. */
+export class WorkerDealings {
+  #watchedAt: Mono = mono(0);
+  /** Most machines don't answer: they are not all lost, the way to them is. */
+  blind = false;
+
+  constructor(
+    private readonly held: Held,
+    private readonly workers: Calls,
+  ) {}
+
+  #wantedOn(id: MachineId): ReadonlyMap<TaskId, Wanted> {
+    const { held } = this;
+    const { replica } = held.ctx;
+    const out = new Map<TaskId, Wanted>();
+    const m = replica.machines.get(id);
+    if (m === undefined) return out;
+    const up = m.stage === "up" && !replica.isGone(id);
+    const { jobs } = replica.work(m.share);
+    for (const [task, o] of replica.work(m.share).openOn(id)) {
+      const job = jobs.get(o.job);
+      const key = attemptKey(task, o.attempt);
+      const note = held.attempts.get(key);
+      // Nothing of a cancelled job is of use: it stops without saving.
+      const stopGraceS =
+        job === undefined || job.cancelledAt !== null ? 0 : (note?.stop?.graceS ?? null);
+      const leaving = held.closing.has(key) || !up;
+      out.set(task, { task, attempt: o.attempt, stopGraceS, leaving });
+    }
+    return out;
+  }
+
+  #startKeys(orders: readonly Order[]): readonly string[] {
+    return orders.filter((o) => o.op === "start").map((o) => attemptKey(o.task, o.attempt));
+  }
+
+  /** POST /agent/beat. A 200 is only given with a token that the worker will accept. */
+  beat(body: unknown, adopt: (r: Report) => void): Answer {
+    const { held } = this;
+    const { ctx, membership } = held;
+    const report = parseReport(body);
+    if (report === undefined) {
+      ctx.log.info("malformed report", {});
+      return { status: 400, body: { error: "malformed report" } };
+    }
+    if (!ctx.synced) return { status: 503, retryAfterS: 1 };
+    const { replica, me } = ctx;
+    // Cut off while others are served: somebody else holds the machine, or soon will.
+    if (!membership.entitled()) return { status: 421, body: redirectBody(undefined) };
+    const m = replica.machines.get(report.machine);
+    if (m === undefined) {
+      const leader = replica.leader?.value.label;
+      if (membership.leads()) adopt(report);
+      return { status: 421, body: redirectBody(leader === me.label ? undefined : leader) };
+    }
+    if (!membership.holds(m.share)) {
+      const to = membership.holderOf(m.share)?.label;
+      return { status: 421, body: redirectBody(to === me.label ? undefined : to) };
+    }
+    // Proved gone: what it says is late.
+    if (replica.isGone(report.machine)) return { status: 503, retryAfterS: 5 };
+    const now = steadyNow();
+    const t = held.tokenOf(m);
+    if (report.token > t) {
+      // Somebody has a higher token: what we know of this machine is old.
+      void refresh(ctx, [keys.share(m.share), replica.fleetPageOf(report.machine) ?? ""]);
+      return { status: 503, retryAfterS: 1 };
+    }
+    if (!held.sessions.has(report.machine)) held.sessions.set(report.machine, newSession(t, now));
+    held.step(report.machine, { kind: "held", token: t, now });
+    this.#hear(report, "beat", now);
+    const s = held.sessions.get(report.machine);
+    if (s === undefined) return { status: 503, retryAfterS: 1 };
+    const orders = s.report === report ? ordersFor(s, this.#wantedOn(report.machine)) : [];
+    held.step(report.machine, { kind: "answered_beat", starts: this.#startKeys(orders) });
+    return { status: 200, body: beatAnswer(t, orders) };
+  }
+
+  #hear(report: Report, via: "beat" | "direct", now: Mono): void {
+    const { held } = this;
+    const before = held.sessions.get(report.machine);
+    const after = held.step(report.machine, { kind: "report", report, via, now });
+    if (after === undefined || after === before) return;
+    const note = held.note(report.machine);
+    note.failedCalls = 0;
+    if (via === "direct") note.deafCalls = 0;
+    for (const t of report.tasks) this.#look(report.machine, t, now);
+    // A report that says nothing new is no reason for a round.
+    if (before !== undefined && sameNews(before, after)) return;
+    held.disturbed.add(report.machine);
+    held.wake();
+  }
+
+  #look(machine: MachineId, t: TaskReport, now: Mono): void {
+    const { held } = this;
+    const { replica } = held.ctx;
+    if (t.stage !== "running") return;
+    const key = attemptKey(t.task, t.attempt);
+    if (held.attempts.get(key)?.runningSince != null) return;
+    const o = replica.openOn(machine).get(t.task);
+    if (o === undefined || o.attempt !== t.attempt) return;
+    const job = replica.accepted.get(o.job)?.value;
+    if (job === undefined) return;
+    held.attemptNote(key, machine).runningSince = now;
+    const type = replica.machines.get(machine)?.type;
+    const cache = replica.types?.value.find((x) => x.name === type)?.cacheGb ?? 0;
+    useImage(held.note(machine), job.spec.image, job.spec.imageGb, cache);
+  }
+
+  /** Sends a machine what it should do, straight to its address: one call at a time. */
+  async callMachine(id: MachineId): Promise<void> {
+    const note = this.held.note(id);
+    if (note.directBusy) {
+      note.directAgain = true;
+      return;
+    }
+    note.directBusy = true;
+    try {
+      await this.#callOnce(id, note);
+    } finally {
+      note.directBusy = false;
+    }
+    if (note.directAgain) {
+      note.directAgain = false;
+      void this.callMachine(id);
+    }
+  }
+
+  async #callOnce(id: MachineId, note: MachineNote): Promise<void> {
+    const { held } = this;
+    const { replica } = held.ctx;
+    const s = held.sessions.get(id);
+    const m = replica.machines.get(id);
+    if (s === undefined || m === undefined || replica.isGone(id)) return;
+    const endpoint = s.report?.endpoint ?? m.endpoint;
+    if (endpoint === "") return;
+    note.calledAt = steadyNow();
+    if (s.report === undefined) {
+      // The session is unknown: ask first.
+      const r = await this.workers.call(endpoint, "GET", "/status", undefined, DIRECT_MS);
+      this.#directReport(id, note, r.kind === "answer" ? r.body : undefined);
+      if (held.sessions.get(id)?.report !== undefined) note.directAgain = true;
+      return;
+    }
+    const orders = ordersFor(s, this.#wantedOn(id));
+    if (s.state === "ready" && orders.length === 0) {
+      const r = await this.workers.call(endpoint, "GET", "/status", undefined, DIRECT_MS);
+      this.#directReport(id, note, r.kind === "answer" ? r.body : undefined);
+      return;
+    }
+    const starts = this.#startKeys(orders);
+    held.step(id, { kind: "direct_sent", starts });
+    const body = ordersBody(s.token, s.report.session, orders);
+    const r = await this.workers.call(endpoint, "POST", "/orders", body, DIRECT_MS);
+    if (r.kind === "unsent") held.step(id, { kind: "direct_unsent", starts });
+    else if (r.kind === "lost" || (r.status !== 200 && r.status !== 409 && r.status !== 400))
+      held.step(id, { kind: "direct_lost", starts });
+    else {
+      // 409 and 400: nothing was executed.
+      held.step(id, { kind: r.status === 200 ? "direct_answered" : "direct_unsent", starts });
+      this.#directReport(id, note, r.body);
+      return;
+    }
+    this.#callFailed(id, note);
+  }
+
+  #callFailed(id: MachineId, note: MachineNote): void {
+    note.failedCalls++;
+    if (note.deafCalls++ === 0) note.deafSince = note.calledAt;
+    this.held.disturbed.add(id);
+    this.held.wake();
+  }
+
+  #directReport(id: MachineId, note: MachineNote, body: unknown): void {
+    const { held } = this;
+    const { replica } = held.ctx;
+    const report = parseReport(body);
+    if (report === undefined || report.machine !== id) {
+      this.#callFailed(id, note);
+      return;
+    }
+    note.deafCalls = 0;
+    const s = held.sessions.get(id);
+    if (s === undefined) return;
+    if (report.token > s.token) {
+      const m = replica.machines.get(id);
+      if (m !== undefined)
+        void refresh(held.ctx, [keys.share(m.share), replica.fleetPageOf(id) ?? ""]);
+      return;
+    }
+    this.#hear(report, "direct", steadyNow());
+  }
+
+  /**
+   * Silent machines are called; those that don't answer either are mute. One that reports but
+   * never answers a call is deaf: what it says proves no way to it, and it is of no use. Both are
+   * proved gone by returning them. A controller that reaches hardly any of its machines must not
+   * take its own trouble for theirs.
+   */
+  watchSilence(now: Mono): void {
+    if (now - this.#watchedAt < WATCH_EVERY_MS) return;
+    this.#watchedAt = now;
+    const { held } = this;
+    const { operators, settings, replica, log } = held.ctx;
+    const lost: { id: MachineId; why: string; quietMs: number }[] = [];
+    let known = 0;
+    let unreached = 0;
+    for (const [id, s] of held.sessions) {
+      const m = replica.machines.get(id);
+      if (m === undefined || replica.isGone(id)) continue;
+      const note = held.note(id);
+      const quiet = now - s.heardAt;
+      const claim = s.state === "claiming" || (s.state === "unheard" && m.endpoint !== "");
+      // Reports come with up to a quarter of delay; one that is later than that is asked for.
+      const overdue = quiet > settings.workers.reportS * 1250 + OVERDUE_MS;
+      const asked = overdue || claim || note.deafCalls > 0;
+      if (asked && now - note.calledAt >= PROBE_EVERY_MS) void this.callMachine(id);
+      if (m.endpoint === "" && s.report === undefined) continue;
+      if (note.retire?.force === true || m.stage !== "up") continue;
+      known++;
+      if (note.failedCalls > 0 && quiet > settings.workers.reportS * 1000) unreached++;
+      const mute = quiet >= operators.silenceS * 1000 && note.failedCalls >= MUTE_CALLS;
+      const deaf =
+        note.deafCalls >= DEAF_CALLS && now - note.deafSince >= operators.silenceS * 1000;
+      if (mute || deaf) lost.push({ id, why: mute ? "silent" : "deaf", quietMs: quiet });
+    }
+    this.blind = known >= BLIND_LEAST && unreached >= known * BLIND_PART;
+    if (this.blind) return;
+    for (const l of lost) {
+      held.step(l.id, { kind: "silence" });
+      log.info(`machine ${l.why}`, { machine: l.id, quietMs: Math.round(l.quietMs) });
+      held.note(l.id).retire = { reason: l.why, force: true };
+      held.disturbed.add(l.id);
+    }
+  }
+}
+
+/** Two states of a session that lead to the same decisions. */
+const sameNews = (a: Session, b: Session): boolean => {
+  if (a.state !== b.state || a.token !== b.token || a.sent !== b.sent) return false;
+  if (a.sent.size > 0 || a.tasks.size !== b.tasks.size) return false;
+  if (a.report === undefined || a.report.session !== b.report?.session) return false;
+  if (a.report.noticeS !== b.report.noticeS) return false;
+  for (const [task, x] of a.tasks) {
+    const y = b.tasks.get(task);
+    if (y?.attempt !== x.attempt || y.stage !== x.stage) return false;
+  }
+  return true;
+};
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -13,6 +13,8 @@
   readonly from: string;
   readonly moves: readonly MoveRequest[];
   readonly retire: readonly MachineId[];
+  /** Why they are to be retired at once; empty: they are surplus. */
+  readonly reason: string;
 }
 
 const root = protobuf.Root.fromJSON({
@@ -29,6 +31,7 @@
         from: { type: "string", id: 1 },
         moves: { rule: "repeated", type: "Move", id: 2 },
         retire: { rule: "repeated", type: "string", id: 3 },
+        reason: { type: "string", id: 4 },
       },
     },
   },
@@ -44,6 +47,7 @@
     from: string;
     moves: { machine: string; to: number; vacate: boolean }[];
     retire: string[];
+    reason: string;
   };
   return {
     from: o.from,
@@ -53,5 +57,6 @@
       vacate: m.vacate,
     })),
     retire: o.retire.map(machineId),
+    reason: o.reason,
   };
 };
--- a/src/protocol/store.ts
+++ b/src/protocol/store.ts
@@ -110,6 +110,7 @@
   txn: "/txn",
   grants: "/grants",
   renew: (lease: LeaseId): string => `/grants/${lease}/touch`,
+  lease: (lease: LeaseId): string => `/grants/${lease}`,
   watch: (prefix: string, after: Revision, waitMs: number): string =>
     `/follow?starts=${prefix}&from=${after}&blockMs=${waitMs}`,
 } as const;
--- a/src/scheduling/order.ts
+++ b/src/scheduling/order.ts
@@ -44,19 +44,29 @@
   readonly slack: number;
 }
 
-/** Rank first, then what is owed, then the least slack, then the fewest tasks left, then age. */
+/**
+ * Nothing is passed over for ever: a job that has waited this long without one start goes before
+ * all others, or a stream of small urgent ones would hold the largest arrays out.
+ */
+const overdue = (q: Waiting, overdueS: number): boolean =>
+  q.ageS > overdueS && q.job.nextAttempt === 1;
+
+/** The overdue first, then rank, then what is owed, then the least slack, then the fewest tasks left, then age. */
 export const queueOrder = (
   waiting: readonly Waiting[],
   objectives: readonly Objective[],
+  overdueS: number,
 ): readonly Queued[] => {
   const keyed = waiting.map((q) => ({
     q,
+    late: overdue(q, overdueS),
     rank: rankOrder(q.job.spec.rank),
     slack: slackS(targetsOf(q.job.spec, objectives, q.owed), q.ageS + q.leadS, q.runS),
     left: waitingCount(q.job),
   }));
   keyed.sort(
     (a, b) =>
+      Number(b.late) - Number(a.late) ||
       Number(b.q.owed) - Number(a.q.owed) ||
       a.rank - b.rank ||
       (a.slack === b.slack ? 0 : a.slack - b.slack) ||
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -1,7 +1,7 @@
 import type { MachineId } from "../protocol/ids.js";
 import type { JobSpec, Resources } from "../protocol/jobs.js";
-import { fits, minus, plus } from "./resources.js";
-import { leastNeed, pheromone } from "./swarm.js";
+import { fits, fitsBeside, lesser, plus } from "./resources.js";
+import { pheromone } from "./swarm.js";
 
 /** A machine as placement sees it: use counts every open attempt and every pending move in. */
 export interface Place {
@@ -11,10 +11,11 @@
   readonly spot: boolean;
   readonly capacity: Resources;
   use: Resources;
-  readonly needs: Resources[];
+  /** The smallest need of each resource that stands there; endless where nothing does. */
+  least: Resources;
   readonly price: number;
   readonly fetchGbPerS: number;
-  readonly images: ReadonlySet<string>;
+  readonly images: { readonly has: (image: string) => boolean };
   readonly contenders: number;
 }
 
@@ -65,12 +66,12 @@
   let bestP = 0;
   for (const place of places) {
     if (best !== null && place.contenders > best.contenders) continue;
-    if (!fits(spec.needs, minus(place.capacity, place.use))) continue;
+    if (!fitsBeside(spec.needs, place.use, place.capacity)) continue;
     if (!permitted(spec, place, zones)) continue;
     const p = pheromone(
       plus(place.use, spec.needs),
       place.capacity,
-      leastNeed([...place.needs.map((needs) => ({ needs })), { needs: spec.needs }]),
+      lesser(place.least, spec.needs),
     );
     if (best === null || place.contenders < best.contenders || p < bestP - 1e-9) {
       best = place;
@@ -90,5 +91,5 @@
 
 export const occupy = (place: Place, needs: Resources): void => {
   place.use = plus(place.use, needs);
-  place.needs.push(needs);
+  place.least = lesser(place.least, needs);
 };
--- a/src/scheduling/resources.ts
+++ b/src/scheduling/resources.ts
@@ -26,7 +26,27 @@
 const SLACK = 1e-9;
 
 export const fits = (need: Resources, free: Resources): boolean =>
-  KINDS.every((k) => need[k] <= free[k] + SLACK);
+  need.cpus <= free.cpus + SLACK &&
+  need.gpus <= free.gpus + SLACK &&
+  need.ramGb <= free.ramGb + SLACK;
+
+/** Whether a need fits beside what is used already. */
+export const fitsBeside = (need: Resources, use: Resources, capacity: Resources): boolean =>
+  need.cpus + use.cpus <= capacity.cpus + SLACK &&
+  need.gpus + use.gpus <= capacity.gpus + SLACK &&
+  need.ramGb + use.ramGb <= capacity.ramGb + SLACK;
+
+export const ENDLESS: Resources = {
+  cpus: Number.POSITIVE_INFINITY,
+  gpus: Number.POSITIVE_INFINITY,
+  ramGb: Number.POSITIVE_INFINITY,
+};
+
+export const lesser = (a: Resources, b: Resources): Resources => ({
+  cpus: Math.min(a.cpus, b.cpus),
+  gpus: Math.min(a.gpus, b.gpus),
+  ramGb: Math.min(a.ramGb, b.ramGb),
+});
 
 /** How many tasks of this need the room holds. */
 export const slots = (need: Resources, room: Resources): number => {
--- a/src/service/context.ts
+++ b/src/service/context.ts
@@ -37,11 +37,13 @@
 /** Reads keys again whose revision was not what we thought. */
 export const refresh = async (ctx: Context, names: Iterable<string>): Promise<void> => {
   await Promise.all(
-    [...new Set(names)].map(async (key) => {
-      const r = await ctx.store.get(key);
-      if (r.kind === "found") ctx.replica.apply({ kind: "put", ...r.item });
-      else if (r.kind === "absent") ctx.replica.apply({ kind: "delete", key, rev: r.rev });
-    }),
+    [...new Set(names)]
+      .filter((key) => key !== "")
+      .map(async (key) => {
+        const r = await ctx.store.get(key);
+        if (r.kind === "found") ctx.replica.apply({ kind: "put", ...r.item });
+        else if (r.kind === "absent") ctx.replica.apply({ kind: "delete", key, rev: r.rev });
+      }),
   );
 };
 
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -5,7 +5,7 @@
 import { Membership } from "../coordination/membership.js";
 import type { Incarnation } from "../protocol/ids.js";
 import { decodePeer } from "../protocol/peer.js";
-import { NOW } from "../storage/records.js";
+import { classify, NOW } from "../storage/records.js";
 import { Replica } from "../storage/replica.js";
 import { Store } from "../storage/store.js";
 import type { Calls } from "../transport/client.js";
@@ -20,6 +20,10 @@
 const RETRY_MS = 200;
 const MEMBERSHIP_MS = 250;
 const MIN_ROUND_GAP_MS = 15;
+const LOOK_MS = 400;
+const ADOPT_MS = 400;
+const PEER_MS = 800;
+const SERVED_PATH = "/served";
 
 /** What a node reaches the world through. */
 export interface Ways {
@@ -74,7 +78,7 @@
   };
   const membership = new Membership(ctx);
   const holder = new Holder(ctx, membership, ways.workers, wake);
-  const leader = new Leader(ctx, membership, holder, ways.cloud, ways.peers);
+  const leader = new Leader(ctx, membership, holder, ways.cloud, ways.peers, ways.workers);
   const users = new Users(ctx, membership, wake);
 
   const front: Handler = (req) => {
@@ -96,12 +100,15 @@
   };
 
   const inner: Handler = (req): Answer => {
+    // Whether the state service serves us: for one that it refuses, to tell its own trouble.
+    if (req.path === SERVED_PATH)
+      return { status: ctx.synced && membership.standing === "served" ? 204 : 503 };
     if (req.path !== "/peer") return { status: 404 };
     if (req.method !== "POST") return { status: 405 };
     try {
       const m = decodePeer(req.bytes);
       for (const x of m.moves) holder.requestMove(x);
-      for (const id of m.retire) holder.requestRetire(id);
+      for (const id of m.retire) holder.requestRetire(id, m.reason);
       wake();
       return { status: 204 };
     } catch {
@@ -126,7 +133,7 @@
     if (!ctx.synced) {
       if (!(await rescan())) return sleep(RETRY_MS);
       ctx.synced = true;
-      log.info("synced", { rev: ctx.replica.position, jobs: ctx.replica.jobs.size });
+      log.info("synced", { rev: ctx.replica.position, jobs: ctx.replica.accepted.size });
       tendSoon();
     }
     const w = await ctx.store.watch(NOW, ctx.replica.position, WATCH_MS);
@@ -135,7 +142,15 @@
       await rescan();
       return;
     }
-    for (const c of w.changes) ctx.replica.apply(c);
+    let others = 0;
+    for (const c of w.changes) {
+      // What is news is not ours: our own is taken in when it is answered.
+      if (c.rev <= ctx.replica.rev(c.key)) continue;
+      // The end of a job also writes its final record, which no watch shows.
+      others += c.kind === "delete" && classify(c.key).kind === "live" ? 2 : 1;
+      ctx.replica.apply(c);
+    }
+    membership.othersWrote(others);
     ctx.replica.advance(w.rev);
     if (w.changes.length > 0) tendSoon();
   };
@@ -150,14 +165,42 @@
       ]);
     wakeRounds = undefined;
     roundDue = false;
-    if (await holder.round()) roundDue = true;
+    const next = await holder.round();
+    if (next === "idle") return;
+    roundDue = true;
+    // Until the budget lets the next one through, what happens gathers into a wider batch.
+    if (next !== "again") await sleep(Math.min(operators.roundMs, next.pauseMs));
+  };
+
+  /** One look at how we stand; in trouble, the other controllers are asked how they do. */
+  const look = async (): Promise<void> => {
+    const quiet = { served: 0, heard: 0 };
+    const failing = Math.max(ctx.store.refusedAt, ctx.store.unansweredAt) > ctx.store.answeredAt;
+    if (failing) {
+      const words = await Promise.all(
+        settings.seeds.map((s) =>
+          ways.peers.raw(s.address, "GET", SERVED_PATH, undefined, PEER_MS),
+        ),
+      );
+      quiet.heard = words.filter((w) => w.kind === "answer").length;
+      quiet.served = words.filter((w) => w.kind === "answer" && w.status === 204).length;
+    }
+    membership.look(quiet);
+    const others = ctx.replica.members.size > 1;
+    if (
+      holder.dealings.blind &&
+      others &&
+      membership.standing === "served" &&
+      membership.entitled()
+    )
+      await membership.resign();
   };
 
   const stats = async (): Promise<void> => {
     const { rss, heapUsed } = process.memoryUsage();
     const cpu = process.cpuUsage();
     log.info("stats", {
-      jobs: ctx.replica.jobs.size,
+      jobs: ctx.replica.accepted.size,
       machines: ctx.replica.machines.size,
       holder: holder.stats(),
       ...(membership.leads() ? { leader: leader.stats() } : {}),
@@ -179,6 +222,8 @@
     passes: [
       pass("lease", Math.floor(operators.memberLeaseMs / 4), () => membership.keepLease()),
       pass("membership", MEMBERSHIP_MS, () => membership.tend()),
+      pass("look", LOOK_MS, look),
+      pass("adopt", ADOPT_MS, () => leader.adoptAll()),
       pass("watch", operators.watchPauseMs, follow),
       pass("rounds", MIN_ROUND_GAP_MS, rounds),
       pass("cloud", operators.fleetPeriodMs, () => leader.callCloud()),
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -9,11 +9,13 @@
 } from "../protocol/jobs.js";
 import { fits } from "../scheduling/resources.js";
 import {
+  type Accepted,
   doneCount,
   type FinalJob,
   keys,
   type LiveJob,
   liveValue,
+  NO_PROGRESS,
   newJob,
   parseFinal,
   parseLive,
@@ -48,7 +50,7 @@
 });
 
 type Found =
-  | { readonly kind: "live"; readonly job: LiveJob; readonly rev: Revision }
+  | { readonly kind: "live"; readonly job: Accepted; readonly rev: Revision }
   | { readonly kind: "final"; readonly job: FinalJob }
   | { readonly kind: "none" }
   | { readonly kind: "unavailable" };
@@ -107,7 +109,7 @@
     if (!parsed.ok) return { status: 400, body: { error: parsed.reason } };
     const spec = parsed.value;
     // Known jobs come first: settings or types may have changed since they were accepted.
-    if (this.#finals.has(spec.id) || ctx.replica.jobs.has(spec.id)) {
+    if (this.#finals.has(spec.id) || ctx.replica.accepted.has(spec.id)) {
       const found = await this.#find(spec.id);
       if (found.kind !== "none") return this.#answer(spec.id, found);
     }
@@ -119,7 +121,7 @@
       if (found.kind !== "none") return this.#answer(spec.id, found);
       return { status: 422, body: { error: refusal } };
     }
-    if (this.#pending >= this.#mostPending() || !ctx.store.mayWrite(1)) return busy(429);
+    if (this.#pending >= this.#mostPending() || !ctx.store.mayWriteNow(1)) return busy(429);
     this.#pending++;
     const began = steadyNow();
     try {
@@ -177,7 +179,10 @@
   #answer(id: JobId, found: Found): Answer {
     switch (found.kind) {
       case "live":
-        return { status: 200, body: jobViewBody(viewOfLive(id, found.job)) };
+        return {
+          status: 200,
+          body: jobViewBody(viewOfLive(id, this.#withProgress(id, found.job))),
+        };
       case "final":
         return { status: 200, body: jobViewBody(viewOfFinal(id, found.job)) };
       case "none":
@@ -187,6 +192,12 @@
     }
   }
 
+  /** How far it has come is for display, and as old as what this controller has heard. */
+  #withProgress(id: JobId, a: Accepted): LiveJob {
+    const { done, open, nextAttempt } = this.ctx.replica.job(id) ?? NO_PROGRESS;
+    return { ...a, done, open, nextAttempt };
+  }
+
   async poll(id: string): Promise<Answer> {
     if (!isJobId(id)) return { status: 404, body: { error: "unknown job" } };
     return this.#answer(jobId(id), await this.#find(jobId(id)));
@@ -201,7 +212,7 @@
       const found = await this.#find(job);
       if (found.kind !== "live") return this.#answer(job, found);
       if (found.job.cancelledAt !== null) return this.#answer(job, found);
-      if (!ctx.store.mayWrite(1)) return busy(429);
+      if (!ctx.store.mayWriteNow(1)) return busy(429);
       const key = keys.live(job);
       const value = liveValue({ ...found.job, cancelledAt: timeOfDay() });
       const ops = [{ kind: "put", key, value }] as const;
@@ -217,9 +228,13 @@
     return busy();
   }
 
-  /** Ready once requests can be served; an outage of the state service is answered, not hidden. */
+  /**
+   * Ready once requests can be served. An outage of the state service is answered, not hidden; but
+   * one whom it alone doesn't serve leaves its users to the others.
+   */
   ready(): Answer {
     const known = this.ctx.synced && this.ctx.replica.types !== undefined;
-    return known && this.membership.joined() ? { status: 200 } : { status: 503, retryAfterS: 1 };
+    const fit = known && this.membership.joined() && this.membership.entitled();
+    return fit ? { status: 200 } : { status: 503, retryAfterS: 1 };
   }
 }
--- a/src/storage/budget.ts
+++ b/src/storage/budget.ts
@@ -14,28 +14,54 @@
     this.#at = now;
   }
 
-  setRate(rate: number): void {
+  setRate(rate: number, now: Mono): void {
+    this.#fill(now);
     this.rate = rate;
   }
 
+  #most(): number {
+    return Math.max(1, this.rate * this.burstS);
+  }
+
   #fill(now: Mono): void {
-    this.#tokens = Math.min(
-      Math.max(1, this.rate * this.burstS),
-      this.#tokens + ((now - this.#at) / 1000) * this.rate,
-    );
+    this.#tokens = Math.min(this.#most(), this.#tokens + ((now - this.#at) / 1000) * this.rate);
     this.#at = now;
   }
 
-  /** Takes `n` if at least `reserve` remains for more urgent callers. */
-  take(n: number, now: Mono, reserve = 0): boolean {
+  /** Whether `n` could be taken now, as `take` sees it. */
+  has(n: number, now: Mono, reserve = 0): boolean {
     this.#fill(now);
     // A batch above the whole bucket is let through when the bucket is full, and paid off after.
-    const need = Math.min(n + reserve, Math.max(1, this.rate * this.burstS));
-    if (this.#tokens < need) return false;
+    return this.#tokens >= Math.min(n + reserve, this.#most());
+  }
+
+  /** Takes `n` if at least `reserve` remains for more urgent callers. */
+  take(n: number, now: Mono, reserve = 0): boolean {
+    if (!this.has(n, now, reserve)) return false;
     this.#tokens -= n;
     return true;
   }
 
+  /** Takes `n` as soon as `least` is there; what is lacking is paid off before the next. */
+  spend(n: number, least: number, now: Mono): boolean {
+    if (!this.has(Math.min(n, least), now)) return false;
+    this.#tokens -= n;
+    return true;
+  }
+
+  /** Milliseconds until `n` can be taken. */
+  waitMs(n: number, now: Mono): number {
+    this.#fill(now);
+    const lacks = Math.min(n, this.#most()) - this.#tokens;
+    return lacks <= 0 ? 0 : (lacks / Math.max(this.rate, 1e-6)) * 1000;
+  }
+
+  /** How full it is, from 0 to 1. */
+  level(now: Mono): number {
+    this.#fill(now);
+    return Math.max(0, this.#tokens / this.#most());
+  }
+
   /** The other side says that we are above its limit: start from nothing. */
   drain(now: Mono): void {
     this.#fill(now);
--- /dev/null
+++ b/src/storage/pages.ts
@@ -0,0 +1,127 @@
+import { amount, count, isMap, list, text } from "../protocol/cbor.js";
+import {
+  attemptNo,
+  type JobId,
+  jobId,
+  type MachineId,
+  machineId,
+  revision,
+  type ShareNo,
+  wall,
+} from "../protocol/ids.js";
+import { isJobId } from "../protocol/jobs.js";
+import { parseRanges } from "./ranges.js";
+import type { MachineRecord, OpenAttempt, Progress } from "./records.js";
+
+/**
+ * Pages: records that hold many things of one share, so that a round changes a few keys however
+ * many tasks started or ended in it. A work page holds the progress of jobs, a fleet page machines.
+ * Names are written once a page and referred to by number.
+ */
+
+const numbersOf = (names: Iterable<string>): Map<string, number> => {
+  const out = new Map<string, number>();
+  for (const n of names) if (!out.has(n)) out.set(n, out.size);
+  return out;
+};
+
+/** About what one open attempt takes of a page: its numbers, and its part of the machines' names. */
+export const OPEN_BYTES = 26;
+const ENTRY_BYTES = 48;
+const RANGE_BYTES = 7;
+
+/** An upper estimate of what a job's progress takes of its page. */
+export const progressBytes = (p: Progress): number =>
+  ENTRY_BYTES + p.done.length * RANGE_BYTES + p.open.length * OPEN_BYTES;
+
+export const MACHINE_BYTES = 80;
+
+export const workPageValue = (entries: Iterable<readonly [JobId, Progress]>): unknown => {
+  const rows = [...entries];
+  const machines = numbersOf(rows.flatMap(([, p]) => p.open.map((o) => o.machine)));
+  return {
+    m: [...machines.keys()],
+    j: rows.map(([id, p]) => {
+      const open: number[] = [];
+      for (const o of p.open) open.push(o.index, o.attempt, machines.get(o.machine) ?? 0);
+      return [id, p.nextAttempt, p.done, open];
+    }),
+  };
+};
+
+/** Undefined if the page as a whole can't be read; a row that can't is passed over by itself. */
+export const parseWorkPage = (v: unknown): ReadonlyMap<JobId, Progress> | undefined => {
+  if (!isMap(v)) return undefined;
+  const machines = list(v.m)?.map((m) => machineId(String(m)));
+  const rows = list(v.j);
+  if (machines === undefined || rows === undefined) return undefined;
+  const out = new Map<JobId, Progress>();
+  for (const row of rows) {
+    const [id, next, done, flat] = list(row) ?? [];
+    const nextAttempt = count(next);
+    const numbers = list(flat) as readonly number[] | undefined;
+    if (typeof id !== "string" || !isJobId(id)) continue;
+    if (nextAttempt === undefined || numbers === undefined) continue;
+    const open: OpenAttempt[] = [];
+    for (let i = 0; i + 2 < numbers.length; i += 3)
+      open.push({
+        index: Number(numbers[i]),
+        attempt: attemptNo(Number(numbers[i + 1])),
+        machine: machines[Number(numbers[i + 2])] ?? machineId(""),
+      });
+    out.set(jobId(id), { done: parseRanges(done), open, nextAttempt });
+  }
+  return out;
+};
+
+const RETIRING = 2;
+const SPOT = 1;
+
+export const fleetPageValue = (
+  machines: Iterable<readonly [MachineId, MachineRecord]>,
+): unknown => {
+  const rows = [...machines];
+  const types = numbersOf(rows.map(([, m]) => m.type));
+  const zones = numbersOf(rows.map(([, m]) => m.zone));
+  return {
+    t: [...types.keys()],
+    z: [...zones.keys()],
+    m: rows.map(([id, m]) => [
+      id,
+      types.get(m.type),
+      zones.get(m.zone),
+      (m.spot ? SPOT : 0) | (m.stage === "retiring" ? RETIRING : 0),
+      Math.round(m.rentedAt),
+      m.endpoint,
+      m.floor,
+    ]),
+  };
+};
+
+export const parseFleetPage = (
+  share: ShareNo,
+  v: unknown,
+): ReadonlyMap<MachineId, MachineRecord> | undefined => {
+  if (!isMap(v)) return undefined;
+  const types = list(v.t)?.map(String);
+  const zones = list(v.z)?.map(String);
+  const rows = list(v.m);
+  if (types === undefined || zones === undefined || rows === undefined) return undefined;
+  const out = new Map<MachineId, MachineRecord>();
+  for (const row of rows) {
+    const [id, type, zone, flags, rentedAt, endpoint, floor] = list(row) ?? [];
+    const bits = count(flags);
+    if (typeof id !== "string" || id === "" || bits === undefined) continue;
+    out.set(machineId(id), {
+      share,
+      type: types[Number(type)] ?? "",
+      zone: zones[Number(zone)] ?? "",
+      spot: (bits & SPOT) !== 0,
+      endpoint: text(endpoint) ?? "",
+      stage: (bits & RETIRING) !== 0 ? "retiring" : "up",
+      rentedAt: wall(amount(rentedAt) ?? 0),
+      floor: revision(count(floor) ?? 0),
+    });
+  }
+  return out;
+};
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -2,7 +2,6 @@
 import type { MachineType } from "../protocol/cloud.js";
 import {
   type AttemptNo,
-  attemptNo,
   type ControllerLabel,
   controllerLabel,
   type Incarnation,
@@ -10,6 +9,7 @@
   type JobId,
   type MachineId,
   machineId,
+  type Revision,
   type ShareNo,
   shareNo,
   type TeamName,
@@ -18,7 +18,7 @@
   wall,
 } from "../protocol/ids.js";
 import { type JobSpec, RANKS } from "../protocol/jobs.js";
-import { parseRanges, type Ranges, rangesCount } from "./ranges.js";
+import { type Ranges, rangesCount } from "./ranges.js";
 
 /**
  * The layout of the state service. All keys under `now/` are scanned at a start and watched;
@@ -28,8 +28,10 @@
 const PREFIX = {
   member: `${NOW}member/`,
   share: `${NOW}share/`,
-  machine: `${NOW}machine/`,
+  work: `${NOW}work/`,
+  fleet: `${NOW}fleet/`,
   hire: `${NOW}hire/`,
+  gone: `${NOW}gone/`,
   live: `${NOW}live/`,
 } as const;
 export const keys = {
@@ -38,7 +40,11 @@
   teams: `${NOW}teams`,
   member: (l: ControllerLabel): string => PREFIX.member + l,
   share: (n: ShareNo): string => PREFIX.share + n,
-  machine: (id: MachineId): string => PREFIX.machine + id,
+  /** Progress of jobs of a share. Such a page is never deleted, so its name may be used again. */
+  work: (n: ShareNo, page: number): string => `${PREFIX.work}${n}/${page}`,
+  /** Machines of a share. Its name begins with a revision of its writer's and is never reused. */
+  fleet: (n: ShareNo, name: string): string => `${PREFIX.fleet}${n}/${name}`,
+  gone: (name: string): string => PREFIX.gone + name,
   hire: (name: string): string => PREFIX.hire + name,
   live: (id: JobId): string => PREFIX.live + id,
   final: (id: JobId): string => `final/${id}`,
@@ -76,10 +82,10 @@
 
 /**
  * `up`: rented, perhaps still booting. `retiring`: to be returned by the leader, nothing new
- * starts there. `gone`: proved gone by the cloud's word; the holder closes its attempts and
- * drops the record.
+ * starts there. One that the cloud's word proves gone is named by a `gone` record until its
+ * holder has closed its attempts and dropped it.
  */
-export type MachineStage = "up" | "retiring" | "gone";
+export type MachineStage = "up" | "retiring";
 
 export interface MachineRecord {
   readonly share: ShareNo;
@@ -90,34 +96,22 @@
   readonly endpoint: string;
   readonly stage: MachineStage;
   readonly rentedAt: Wall;
+  /** No token for it may be lower: a revision known when it was last bumped or moved. */
+  readonly floor: Revision;
 }
 
-const STAGES: readonly MachineStage[] = ["up", "retiring", "gone"];
-
-export const machineValue = (m: MachineRecord): unknown => ({
-  s: m.share,
-  t: m.type,
-  z: m.zone,
-  p: m.spot,
-  e: m.endpoint,
-  g: m.stage,
-  a: m.rentedAt,
-});
+/** Machines that the cloud says are gone. */
+export interface GoneRecord {
+  readonly ids: readonly MachineId[];
+  readonly at: Wall;
+}
 
-export const parseMachine = (v: unknown): MachineRecord | undefined => {
+export const goneValue = (g: GoneRecord): unknown => ({ m: g.ids, a: g.at });
+export const parseGone = (v: unknown): GoneRecord | undefined => {
   if (!isMap(v)) return undefined;
-  const s = count(v.s);
-  const stage = STAGES.find((g) => g === v.g);
-  if (s === undefined || stage === undefined) return undefined;
-  return {
-    share: shareNo(s),
-    type: text(v.t) ?? "",
-    zone: text(v.z) ?? "",
-    spot: v.p === true,
-    endpoint: text(v.e) ?? "",
-    stage,
-    rentedAt: wall(amount(v.a) ?? 0),
-  };
+  const ids = list(v.m);
+  if (ids === undefined) return undefined;
+  return { ids: ids.map((id) => machineId(String(id))), at: wall(amount(v.a) ?? 0) };
 };
 
 /** The intent to rent, written before the call. */
@@ -159,34 +153,41 @@
   readonly machine: MachineId;
 }
 
-/**
- * An accepted job that is not over. Attempt numbers come from one counter for the whole job, so
- * none is used twice for a task and none need be kept for tasks that are not open.
- */
-export interface LiveJob {
+/** What a user was told of, and whether it was taken back: one record a job, seldom rewritten. */
+export interface Accepted {
   readonly spec: JobSpec;
   readonly acceptedAt: Wall;
   /** When its user asked to cancel it, or null. */
   readonly cancelledAt: Wall | null;
+}
+
+/**
+ * How far a job has come, kept in a page of its share. Attempt numbers come from one counter for
+ * the whole job, so none is used twice for a task and none need be kept for tasks not open.
+ */
+export interface Progress {
   readonly done: Ranges;
   readonly open: readonly OpenAttempt[];
   readonly nextAttempt: number;
 }
 
+export const NO_PROGRESS: Progress = { done: [], open: [], nextAttempt: 1 };
+
+/** An accepted job that is not over. */
+export interface LiveJob extends Accepted, Progress {}
+
 export const newJob = (spec: JobSpec, at: Wall): LiveJob => ({
   spec,
   acceptedAt: at,
   cancelledAt: null,
-  done: [],
-  open: [],
-  nextAttempt: 1,
+  ...NO_PROGRESS,
 });
 
-export const doneCount = (j: LiveJob): number => rangesCount(j.done);
+export const doneCount = (j: Progress): number => rangesCount(j.done);
 export const waitingCount = (j: LiveJob): number =>
   j.cancelledAt !== null ? 0 : j.spec.tasks - doneCount(j) - j.open.length;
 
-export const liveValue = (j: LiveJob): unknown => {
+export const liveValue = (j: Accepted): unknown => {
   const s = j.spec;
   return {
     c: s.jobClass,
@@ -205,22 +206,17 @@
     d: s.deadlineS,
     a: j.acceptedAt,
     ca: j.cancelledAt,
-    dn: j.done,
-    o: j.open.map((o) => `${o.index}:${o.attempt}:${o.machine}`),
-    x: j.nextAttempt,
   };
 };
 
-export const parseLive = (id: JobId, v: unknown): LiveJob | undefined => {
+export const parseLive = (id: JobId, v: unknown): Accepted | undefined => {
   if (!isMap(v)) return undefined;
   const needs = list(v.u)?.map(amount);
   const tasks = count(v.n);
   const rank = RANKS.find((r) => r === v.r);
-  const next = count(v.x);
   const flags = count(v.f);
-  const open = list(v.o);
   if (needs === undefined || tasks === undefined || rank === undefined) return undefined;
-  if (next === undefined || flags === undefined || open === undefined) return undefined;
+  if (flags === undefined) return undefined;
   return {
     spec: {
       id,
@@ -243,16 +239,6 @@
     },
     acceptedAt: wall(amount(v.a) ?? 0),
     cancelledAt: v.ca === undefined || v.ca === null ? null : wall(amount(v.ca) ?? 0),
-    done: parseRanges(v.dn),
-    open: open.map((o) => {
-      const [index, attempt, machine] = String(o).split(":");
-      return {
-        index: Number(index),
-        attempt: attemptNo(Number(attempt)),
-        machine: machineId(machine ?? ""),
-      };
-    }),
-    nextAttempt: next,
   };
 };
 
--- a/src/storage/replica.ts
+++ b/src/storage/replica.ts
@@ -1,67 +1,113 @@
 import type { MachineType } from "../protocol/cloud.js";
 import {
   ABSENT,
-  type AttemptNo,
   type ControllerLabel,
   controllerLabel,
   type JobId,
   jobId,
   type MachineId,
-  machineId,
   type Revision,
   revision,
   type ShareNo,
   shareNo,
-  type TaskId,
   type TeamName,
-  taskId,
 } from "../protocol/ids.js";
 import type { Change, Item } from "../protocol/store.js";
+import { parseFleetPage } from "./pages.js";
 import {
+  type Accepted,
   classify,
+  type GoneRecord,
   type HireRecord,
   type Holder,
   type LiveJob,
   type MachineRecord,
+  parseGone,
   parseHire,
   parseHolder,
   parseLive,
-  parseMachine,
   parseTeams,
   parseTypesRecord,
 } from "./records.js";
+import { ShareWork } from "./work.js";
 
 export interface Versioned<T> {
   readonly value: T;
   readonly rev: Revision;
 }
 
-export interface OpenOn {
-  readonly job: JobId;
-  readonly index: number;
-  readonly attempt: AttemptNo;
+export interface FleetPage {
+  readonly share: ShareNo;
+  readonly rev: Revision;
+  readonly machines: ReadonlyMap<MachineId, MachineRecord>;
 }
 
 /** What this controller knows of the state service's `now/` keys, kept up by the watch. */
 export class Replica {
-  readonly jobs = new Map<JobId, Versioned<LiveJob>>();
-  readonly machines = new Map<MachineId, Versioned<MachineRecord>>();
+  /** Accepted jobs that are not over. */
+  readonly accepted = new Map<JobId, Versioned<Accepted>>();
+  /** Machines by id, and the key of the page that each stands in. */
+  readonly machines = new Map<MachineId, MachineRecord>();
+  readonly #pageOf = new Map<MachineId, string>();
+  readonly fleetPages = new Map<string, FleetPage>();
   readonly shares = new Map<ShareNo, Versioned<Holder>>();
   readonly members = new Map<ControllerLabel, Versioned<Holder>>();
   readonly hires = new Map<string, Versioned<HireRecord>>();
+  readonly goneRecords = new Map<string, Versioned<GoneRecord>>();
   leader: Versioned<Holder> | undefined;
   types: Versioned<readonly MachineType[]> | undefined;
   teams: Versioned<ReadonlyMap<TeamName, ShareNo>> | undefined;
   /** All changes up to here are in. */
   position = revision(0);
-  /** Open attempts by machine and task. */
-  readonly #openOn = new Map<MachineId, Map<TaskId, OpenOn>>();
+  /** The highest revision heard of: some change up to here is known, not all need be. */
+  latest = revision(0);
+  /** Rise with every change of machines, or of what may be done with open attempts. */
+  fleetVersion = 0;
+  workVersion = 0;
+  /** Puts and deletes under `now/` that came with the watch, our own among them. */
+  changesSeen = 0;
+  readonly #gone = new Set<MachineId>();
+  readonly #work = new Map<ShareNo, ShareWork>();
   readonly #revs = new Map<string, Revision>();
   /** Keys deleted beyond what the watch has told: its older news must not bring them back. */
   readonly #dropped = new Map<string, Revision>();
 
-  openOn(id: MachineId): ReadonlyMap<TaskId, OpenOn> {
-    return this.#openOn.get(id) ?? NONE;
+  /** The jobs of a share and their open attempts. */
+  work(share: ShareNo): ShareWork {
+    let w = this.#work.get(share);
+    if (w === undefined) {
+      w = new ShareWork((id) => this.accepted.get(id)?.value);
+      this.#work.set(share, w);
+    }
+    return w;
+  }
+
+  shareOf(id: JobId): ShareNo | undefined {
+    const a = this.accepted.get(id);
+    return a === undefined ? undefined : this.teams?.value.get(a.value.spec.team);
+  }
+
+  job(id: JobId): LiveJob | undefined {
+    const share = this.shareOf(id);
+    return share === undefined ? undefined : this.work(share).jobs.get(id);
+  }
+
+  /** The live jobs of all shares. */
+  *allJobs(): Iterable<readonly [JobId, LiveJob]> {
+    for (const w of this.#work.values()) yield* w.jobs;
+  }
+
+  openOn(id: MachineId): ReturnType<ShareWork["openOn"]> {
+    return this.work(this.machines.get(id)?.share ?? shareNo(0)).openOn(id);
+  }
+
+  fleetPageOf(id: MachineId): string | undefined {
+    return this.#pageOf.get(id);
+  }
+
+  /** The cloud has said that it is gone. */
+  isGone(id: MachineId): boolean {
+    return this.#gone.has(id);
   }
 
   rev(key: string): Revision {
@@ -70,6 +116,7 @@
 
   /** Takes one change in; older news than what is known is passed over. */
   apply(c: Change): void {
+    if (c.rev > this.latest) this.latest = c.rev;
     const known = this.#revs.get(c.key) ?? this.#dropped.get(c.key) ?? ABSENT;
     if (c.rev <= known) return;
     if (c.kind === "put") {
@@ -87,6 +134,7 @@
   advance(rev: Revision): void {
     if (rev <= this.position) return;
     this.position = rev;
+    if (rev > this.latest) this.latest = rev;
     for (const [key, at] of this.#dropped) if (at <= rev) this.#dropped.delete(key);
   }
 
@@ -104,20 +152,30 @@
     switch (kind) {
       case "live": {
         const id = jobId(name);
-        const job = parseLive(id, value);
-        this.#index(id, undefined);
-        if (job === undefined) this.jobs.delete(id);
-        else {
-          this.jobs.set(id, { value: job, rev });
-          this.#index(id, job);
-        }
+        this.#jobChanged(id);
+        const was = this.accepted.get(id);
+        keep(this.accepted, id, parseLive(id, value), rev);
+        if (was !== undefined) this.workVersion++;
+        this.#jobChanged(id);
+        return;
+      }
+      case "work":
+        this.work(shareOfPage(name)).pageChanged(key, value, rev);
+        return;
+      case "fleet": {
+        const share = shareOfPage(name);
+        // An unreadable page leaves what was last known of its machines.
+        const machines = parseFleetPage(share, value) ?? this.fleetPages.get(key)?.machines;
+        this.#fleetPage(key, { share, rev, machines: machines ?? new Map() });
         return;
       }
-      case "machine":
-        keep(this.machines, machineId(name), parseMachine(value), rev);
+      case "gone":
+        keep(this.goneRecords, name, parseGone(value), rev);
+        this.#goneChanged();
         return;
       case "share":
         keep(this.shares, shareNo(Number(name)), parseHolder(value), rev);
+        this.fleetVersion++;
         return;
       case "member":
         keep(this.members, controllerLabel(name), parseHolder(value), rev);
@@ -135,6 +193,7 @@
         return;
       case "teams":
         this.teams = { value: parseTeams(value), rev };
+        for (const id of this.accepted.keys()) this.#jobChanged(id);
         return;
       case "other":
         return;
@@ -145,14 +204,22 @@
     const { kind, name } = classify(key);
     switch (kind) {
       case "live":
-        this.#index(jobId(name), undefined);
-        this.jobs.delete(jobId(name));
+        this.#jobChanged(jobId(name));
+        this.accepted.delete(jobId(name));
         return;
-      case "machine":
-        this.machines.delete(machineId(name));
+      case "work":
+        this.work(shareOfPage(name)).pageChanged(key, { m: [], j: [] }, ABSENT);
+        return;
+      case "fleet":
+        this.#fleetPage(key, undefined);
+        return;
+      case "gone":
+        this.goneRecords.delete(name);
+        this.#goneChanged();
         return;
       case "share":
         this.shares.delete(shareNo(Number(name)));
+        this.fleetVersion++;
         return;
       case "member":
         this.members.delete(controllerLabel(name));
@@ -174,28 +241,43 @@
     }
   }
 
-  /** Replaces what the index holds of one job; call before the job's map entry changes. */
-  #index(id: JobId, next: LiveJob | undefined): void {
+  #jobChanged(id: JobId): void {
+    const share = this.shareOf(id);
+    if (share !== undefined) this.work(share).jobChanged(id);
+  }
+
+  #fleetPage(key: string, next: FleetPage | undefined): void {
+    this.fleetVersion++;
+    for (const id of this.fleetPages.get(key)?.machines.keys() ?? []) {
+      // A machine that moved to another page stands there already.
+      if (next?.machines.has(id) || this.#pageOf.get(id) !== key) continue;
+      this.#pageOf.delete(id);
+      this.machines.delete(id);
+    }
     if (next === undefined) {
-      for (const o of this.jobs.get(id)?.value.open ?? []) {
-        const on = this.#openOn.get(o.machine);
-        on?.delete(taskId(id, o.index));
-        if (on?.size === 0) this.#openOn.delete(o.machine);
-      }
+      this.fleetPages.delete(key);
       return;
     }
-    for (const o of next.open) {
-      let on = this.#openOn.get(o.machine);
-      if (on === undefined) {
-        on = new Map();
-        this.#openOn.set(o.machine, on);
-      }
-      on.set(taskId(id, o.index), { job: id, index: o.index, attempt: o.attempt });
+    this.fleetPages.set(key, next);
+    for (const [id, m] of next.machines) {
+      // Changes of one transaction come in any order: the younger page has the machine.
+      const other = this.#pageOf.get(id);
+      if (other !== undefined && other !== key && (this.#revs.get(other) ?? ABSENT) > next.rev)
+        continue;
+      this.#pageOf.set(id, key);
+      this.machines.set(id, m);
     }
   }
+
+  #goneChanged(): void {
+    this.#gone.clear();
+    for (const g of this.goneRecords.values()) for (const id of g.value.ids) this.#gone.add(id);
+    this.fleetVersion++;
+    this.workVersion++;
+  }
 }
 
-const NONE: ReadonlyMap<TaskId, OpenOn> = new Map();
+const shareOfPage = (name: string): ShareNo => shareNo(Number(name.slice(0, name.indexOf("/"))));
 
 const keep = <K, V>(
   map: Map<K, Versioned<V>>,
--- a/src/storage/store.ts
+++ b/src/storage/store.ts
@@ -1,4 +1,4 @@
-import type { LeaseId, Revision } from "../protocol/ids.js";
+import { type LeaseId, type Mono, mono, type Revision } from "../protocol/ids.js";
 import {
   type Change,
   grantBody,
@@ -39,28 +39,40 @@
 
 const CALL_MS = 1500;
 const SCAN_LIMIT = 1000;
+/** What part of the write limit all may use together, and how many equal parts one may use. */
+const USABLE = 0.9;
+const MOST_PARTS = 2.5;
 
 /** The state service's client: its calls, its limits, and what an answer does and doesn't prove. */
 export class Store {
   readonly #requests: Budget;
   readonly #writes: Budget;
-  /** Steady time of the last answer other than 503, for telling an outage. */
+  /** Steady time of the last answer other than 503, and of the last call without any answer. */
   answeredAt = steadyNow();
+  refusedAt: Mono = mono(Number.NEGATIVE_INFINITY);
+  unansweredAt: Mono = mono(Number.NEGATIVE_INFINITY);
 
   constructor(
     private readonly address: string,
     private readonly limits: { readonly rps: number; readonly writeRps: number },
     private readonly calls: Calls,
-    members: number,
+    private members: number,
   ) {
     this.#requests = new Budget(limits.rps / members, 1, steadyNow());
     this.#writes = new Budget(limits.writeRps / members, 1, steadyNow());
   }
 
-  /** The limits hold for all controllers together: each live one takes an equal part. */
-  shareWith(members: number): void {
-    this.#requests.setRate(this.limits.rps / members);
-    this.#writes.setRate(this.limits.writeRps / members);
+  /**
+   * The limits hold for all controllers together. Each live one is sure of an equal part; what the
+   * watch shows the others not to use may be used as well, up to a few equal parts.
+   */
+  shareWith(members: number, othersWrites: number): void {
+    const now = steadyNow();
+    this.members = members;
+    this.#requests.setRate(this.limits.rps / members, now);
+    const equal = this.limits.writeRps / members;
+    const unused = this.limits.writeRps * USABLE - othersWrites;
+    this.#writes.setRate(Math.max(equal, Math.min(unused, equal * MOST_PARTS)), now);
   }
 
   mayRead(reserve = 0): boolean {
@@ -71,13 +83,34 @@
     return this.#writes.take(ops, steadyNow(), reserve);
   }
 
+  /** For what can't wait: goes up to a second's worth into debt, which all others pay off first. */
+  mayWriteNow(ops: number): boolean {
+    return this.#writes.take(ops, steadyNow(), -this.limits.writeRps / this.members);
+  }
+
+  /** For batches: lets one through once a little is there, and makes the next wait for it. */
+  mayWriteBatch(ops: number, least: number): boolean {
+    return this.#writes.spend(ops, least, steadyNow());
+  }
+
+  /** Milliseconds until this many changes may be written, and how full the budget is. */
+  writeWaitMs(ops: number): number {
+    return this.#writes.waitMs(ops, steadyNow());
+  }
+
+  writeLevel(): number {
+    return this.#writes.level(steadyNow());
+  }
+
   async #call(method: string, path: string, body: unknown, ms = CALL_MS): Promise<Reply> {
     const r = await this.calls.call(this.address, method, path, body, ms);
     if (r.kind === "answer" && r.status === 429) {
       this.#requests.drain(steadyNow());
       this.#writes.drain(steadyNow());
     }
-    if (r.kind === "answer" && r.status !== 503) this.answeredAt = steadyNow();
+    if (r.kind !== "answer") this.unansweredAt = steadyNow();
+    else if (r.status === 503) this.refusedAt = steadyNow();
+    else this.answeredAt = steadyNow();
     return r;
   }
 
@@ -172,6 +205,10 @@
     return r.status === 200 ? "renewed" : "unavailable";
   }
 
+  async release(lease: LeaseId): Promise<void> {
+    await this.#call("DELETE", storePaths.lease(lease), undefined);
+  }
+
   close(): void {
     this.calls.close();
   }
--- /dev/null
+++ b/src/storage/work.ts
@@ -0,0 +1,156 @@
+import {
+  type AttemptNo,
+  type JobId,
+  type MachineId,
+  type Revision,
+  type TaskId,
+  taskId,
+} from "../protocol/ids.js";
+import { parseWorkPage } from "./pages.js";
+import { type Accepted, type LiveJob, NO_PROGRESS, type Progress } from "./records.js";
+
+export interface OpenOn {
+  readonly job: JobId;
+  readonly index: number;
+  readonly attempt: AttemptNo;
+}
+
+interface Page {
+  rev: Revision;
+  value: unknown;
+  entries: ReadonlyMap<JobId, Progress>;
+}
+
+const NO_ENTRIES: ReadonlyMap<JobId, Progress> = new Map();
+const NONE: ReadonlyMap<TaskId, OpenOn> = new Map();
+
+const sameOpen = (a: Progress, b: Progress): boolean => {
+  if (a.open.length !== b.open.length) return false;
+  for (let i = 0; i < a.open.length; i++) {
+    const x = a.open[i];
+    const y = b.open[i];
+    if (x?.index !== y?.index || x?.attempt !== y?.attempt || x?.machine !== y?.machine)
+      return false;
+  }
+  return true;
+};
+
+/**
+ * The work of one share: its jobs with their progress. Pages are read when somebody asks, not
+ * when they change: a controller that neither holds the share nor leads never reads them.
+ */
+export class ShareWork {
+  readonly #jobs = new Map<JobId, LiveJob>();
+  readonly #pages = new Map<string, Page>();
+  readonly #pageOf = new Map<JobId, string>();
+  readonly #openOn = new Map<MachineId, Map<TaskId, OpenOn>>();
+  readonly #dirtyPages = new Set<string>();
+  readonly #dirtyJobs = new Set<JobId>();
+
+  constructor(private readonly accepted: (id: JobId) => Accepted | undefined) {}
+
+  /** Accepted jobs that are not over, by id. */
+  get jobs(): ReadonlyMap<JobId, LiveJob> {
+    this.#settle();
+    return this.#jobs;
+  }
+
+  get pages(): ReadonlyMap<
+    string,
+    { readonly rev: Revision; readonly entries: ReadonlyMap<JobId, Progress> }
+  > {
+    this.#settle();
+    return this.#pages;
+  }
+
+  pageOf(id: JobId): string | undefined {
+    this.#settle();
+    return this.#pageOf.get(id);
+  }
+
+  openOn(id: MachineId): ReadonlyMap<TaskId, OpenOn> {
+    this.#settle();
+    return this.#openOn.get(id) ?? NONE;
+  }
+
+  jobChanged(id: JobId): void {
+    this.#dirtyJobs.add(id);
+  }
+
+  pageChanged(key: string, value: unknown, rev: Revision): void {
+    const p = this.#pages.get(key);
+    if (p === undefined) this.#pages.set(key, { rev, value, entries: NO_ENTRIES });
+    else {
+      p.rev = rev;
+      p.value = value;
+    }
+    this.#dirtyPages.add(key);
+  }
+
+  #settle(): void {
+    if (this.#dirtyPages.size > 0) this.#readPages();
+    if (this.#dirtyJobs.size === 0) return;
+    for (const id of this.#dirtyJobs) {
+      const a = this.accepted(id);
+      if (a === undefined) this.#jobs.delete(id);
+      else this.#jobs.set(id, { ...a, ...this.#progress(id) });
+    }
+    this.#dirtyJobs.clear();
+  }
+
+  /** All leave the index before any enters it: a job may have moved from one page to another. */
+  #readPages(): void {
+    const enter: (readonly [JobId, Progress])[] = [];
+    for (const key of this.#dirtyPages) {
+      const p = this.#pages.get(key);
+      if (p === undefined) continue;
+      // An unreadable page leaves what was last known of its jobs.
+      const next = parseWorkPage(p.value) ?? p.entries;
+      for (const [id, was] of p.entries) {
+        const is = next.get(id);
+        if (is !== undefined && sameOpen(was, is)) continue;
+        this.#unindex(id, was);
+        if (is === undefined && this.#pageOf.get(id) === key) this.#pageOf.delete(id);
+        this.#dirtyJobs.add(id);
+      }
+      for (const [id, is] of next) {
+        const was = p.entries.get(id);
+        if (was === undefined || !sameOpen(was, is)) enter.push([id, is]);
+        this.#dirtyJobs.add(id);
+      }
+      p.entries = next;
+      p.value = undefined;
+    }
+    for (const key of this.#dirtyPages)
+      for (const id of this.#pages.get(key)?.entries.keys() ?? []) this.#pageOf.set(id, key);
+    for (const [id, p] of enter) this.#index(id, p);
+    this.#dirtyPages.clear();
+  }
+
+  #progress(id: JobId): Progress {
+    const key = this.#pageOf.get(id);
+    return (key === undefined ? undefined : this.#pages.get(key)?.entries.get(id)) ?? NO_PROGRESS;
+  }
+
+  #unindex(id: JobId, p: Progress): void {
+    for (const o of p.open) {
+      const on = this.#openOn.get(o.machine);
+      const task = taskId(id, o.index);
+      // A job that changed its page may stand in the new one already.
+      if (on?.get(task)?.attempt !== o.attempt) continue;
+      on.delete(task);
+      if (on.size === 0) this.#openOn.delete(o.machine);
+    }
+  }
+
+  #index(id: JobId, p: Progress): void {
+    for (const o of p.open) {
+      let on = this.#openOn.get(o.machine);
+      if (on === undefined) {
+        on = new Map();
+        this.#openOn.set(o.machine, on);
+      }
+      on.set(taskId(id, o.index), { job: id, index: o.index, attempt: o.attempt });
+    }
+  }
+}
--- a/test/codecs.test.ts
+++ b/test/codecs.test.ts
@@ -3,12 +3,18 @@
 import { checkOperators, parseOperators } from "../src/cli/operators.js";
 import { parseSettings } from "../src/cli/settings.js";
 import { decode, encode } from "../src/protocol/cbor.js";
-import { attemptNo, jobId, machineId, shareNo, wall } from "../src/protocol/ids.js";
+import { attemptNo, jobId, machineId, revision, shareNo, wall } from "../src/protocol/ids.js";
 import { parseSubmission } from "../src/protocol/jobs.js";
 import { decodePeer, encodePeer } from "../src/protocol/peer.js";
 import { parseReport } from "../src/protocol/workers.js";
+import {
+  fleetPageValue,
+  parseFleetPage,
+  parseWorkPage,
+  workPageValue,
+} from "../src/storage/pages.js";
 import { rangesAdd, rangesCount, rangesHas, rangesMissing } from "../src/storage/ranges.js";
-import { liveValue, newJob, parseLive } from "../src/storage/records.js";
+import { liveValue, parseLive } from "../src/storage/records.js";
 
 export const SUBMISSION = {
   uid: "wk-000412",
@@ -95,20 +101,59 @@
   const parsed = parseSubmission(SUBMISSION);
   assert.ok(parsed.ok);
   const job = {
-    ...newJob(parsed.value, wall(1_700_000_000_000)),
+    spec: parsed.value,
+    acceptedAt: wall(1_700_000_000_000),
     cancelledAt: wall(1_700_000_001_000),
-    done: [0, 3, 7, 7],
-    open: [{ index: 4, attempt: attemptNo(9), machine: machineId("m-000001") }],
-    nextAttempt: 10,
   };
   assert.deepEqual(parseLive(jobId("wk-000412"), decode(encode(liveValue(job)))), job);
 });
 
+const over = (v: unknown): unknown => decode(encode(v));
+
+test("a work page keeps the progress of its jobs, and a row that can't be read loses only itself", () => {
+  const open = (index: number, attempt: number, machine: string) => ({
+    index,
+    attempt: attemptNo(attempt),
+    machine: machineId(machine),
+  });
+  const entries = new Map([
+    [
+      jobId("wk-1"),
+      { done: [0, 3, 7, 7], open: [open(4, 9, "m-1"), open(5, 10, "m-2")], nextAttempt: 11 },
+    ],
+    [jobId("wk-2"), { done: [], open: [open(0, 1, "m-1")], nextAttempt: 2 }],
+  ]);
+  const value = over(workPageValue(entries)) as { j: unknown[] };
+  assert.deepEqual(parseWorkPage(value), entries);
+  const spoilt = parseWorkPage({ ...value, j: [["wk-9"], null, ...value.j] });
+  assert.deepEqual([...(spoilt?.keys() ?? [])], ["wk-1", "wk-2"]);
+  assert.equal(parseWorkPage("no page"), undefined);
+});
+
+test("a fleet page keeps its machines", () => {
+  const m = (zone: string, spot: boolean, stage: "up" | "retiring") => ({
+    share: shareNo(2),
+    type: "g8",
+    zone,
+    spot,
+    endpoint: "10.1.0.1:9000",
+    stage,
+    rentedAt: wall(1_700_000_000_000),
+    floor: revision(77),
+  });
+  const machines = new Map([
+    [machineId("m-1"), m("a", true, "up")],
+    [machineId("m-2"), m("b", false, "retiring")],
+  ]);
+  assert.deepEqual(parseFleetPage(shareNo(2), over(fleetPageValue(machines))), machines);
+});
+
 test("peer messages", () => {
   const m = {
     from: "loom-1",
     moves: [{ machine: machineId("m-000001"), to: shareNo(2), vacate: true }],
     retire: [machineId("m-000002")],
+    reason: "failed",
   };
   assert.deepEqual(decodePeer(encodePeer(m)), m);
   assert.throws(() => decodePeer(new Uint8Array([0xff, 0xff, 0xff])));
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -347,7 +347,7 @@
   assert.deepEqual([...owedJobs(jobs, teams)].sort(), ["wk-1", "wk-2"]);
 });
 
-test("the order of waiting jobs: owed, rank, slack, fewest left, age", () => {
+test("the order of waiting jobs: overdue, owed, rank, slack, fewest left, age", () => {
   const q = (j: ReturnType<typeof job>, ageS: number, owed = false) => ({
     id: j[0],
     job: j[1],
@@ -364,11 +364,14 @@
       q(job("wk-4", 4, { rank: "high", jobClass: "fast" }), 5),
       q(job("wk-5", 5, { rank: "high", jobClass: "fast" }), 7),
       q(job("wk-6", 6, { rank: "best_effort" }), 0, true),
+      // Passed over for two minutes without one start: before all others, lest it never begins.
+      q(job("wk-7", 7, { tasks: 500 }), 121),
     ],
     OBJECTIVES,
+    120,
   );
   assert.deepEqual(
     order.map((x) => x.id),
-    ["wk-6", "wk-5", "wk-4", "wk-3", "wk-2", "wk-1"],
+    ["wk-7", "wk-6", "wk-5", "wk-4", "wk-3", "wk-2", "wk-1"],
   );
 });
--- a/test/safety.test.ts
+++ b/test/safety.test.ts
@@ -1,15 +1,38 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { type Trouble, World } from "./sim/world.js";
+import { type Sabotage, type Trouble, World } from "./sim/world.js";
+
+const calm: Trouble = { lost: 0, crashes: false, outages: false, deaths: false };
 
 const days: readonly (readonly [string, number, Trouble])[] = [
-  ["quiet", 1, { lost: 0, crashes: false, outages: false, deaths: false }],
-  ["lost and late messages", 2, { lost: 0.03, crashes: false, outages: false, deaths: false }],
-  ["controllers crash", 3, { lost: 0, crashes: true, outages: false, deaths: false }],
-  ["outages", 4, { lost: 0, crashes: false, outages: true, deaths: false }],
-  ["machines die and hang", 5, { lost: 0.01, crashes: false, outages: false, deaths: true }],
+  ["quiet", 1, calm],
+  ["lost and late messages", 2, { ...calm, lost: 0.03 }],
+  ["controllers crash", 3, { ...calm, crashes: true }],
+  ["outages", 4, { ...calm, outages: true }],
+  ["machines die and hang", 5, { ...calm, lost: 0.01, deaths: true }],
   ["all together", 6, { lost: 0.02, crashes: true, outages: true, deaths: true }],
   ["all together, other luck", 7, { lost: 0.03, crashes: true, outages: true, deaths: true }],
+  ["machines report and hear nothing", 8, { ...calm, oneWay: true }],
+  ["late copies of reports", 9, { ...calm, lost: 0.01, lateCopies: true, crashes: true }],
+  ["a controller cut from store and peers", 10, { ...calm, cut: true }],
+  ["one refused by the state service alone", 11, { ...calm, refused: true }],
+  ["one without its workers", 12, { ...calm, noWorkers: true }],
+  ["ends in the middle of elections", 13, { ...calm, elections: true, crashes: true }],
+  [
+    "one-way machines and late copies beside crashes, a wave and an outage",
+    14,
+    { ...calm, oneWay: true, lateCopies: true, crashes: true, wave: true, outages: true },
+  ],
+  [
+    "a cut controller, peers that refuse, deaths",
+    15,
+    { ...calm, lost: 0.01, cut: true, peersRefuse: true, deaths: true, lateCopies: true },
+  ],
+  [
+    "a refused controller beside elections and a wave",
+    16,
+    { ...calm, refused: true, elections: true, wave: true, oneWay: true },
+  ],
 ];
 
 for (const [name, seed, trouble] of days)
@@ -23,3 +46,40 @@
       assert.ok(j.told !== null, `${id} comes to its end`);
     }
   });
+
+const storm: Trouble = {
+  lost: 0.08,
+  crashes: true,
+  outages: true,
+  deaths: true,
+  oneWay: true,
+  lateCopies: true,
+  wave: true,
+  elections: true,
+};
+
+/** Each check must be able to fail: with the guard it rests on broken, its rule is broken. */
+const broken: readonly (readonly [Sabotage, number, Trouble, readonly string[]])[] = [
+  // Conditions keep two holders from starting the same task, and a job from ending twice.
+  ["conditions", 2, storm, ["ran_twice", "went_back"]],
+  // Tokens keep an earlier holder's late command from being executed.
+  ["tokens", 3, storm, ["ran_twice"]],
+  // The cloud's word that a machine is gone closes what stood there.
+  ["returns", 4, storm, ["ran_twice", "quota"]],
+  // A final record is what an ended job is known by.
+  ["finals", 1, calm, ["forgotten"]],
+  ["no_service", 1, calm, ["unserved"]],
+  // A cancel that is told and not carried out.
+  ["cancels", 1, calm, ["ran_cancelled", "went_back"]],
+];
+
+for (const [guard, seed, trouble, rules] of broken)
+  test(`the checks notice a broken guard: ${guard}`, async () => {
+    const w = new World(seed, trouble, undefined, guard);
+    await w.day(25);
+    const seen = new Set(w.broken.map((b) => b.split(" ")[0]));
+    assert.ok(
+      rules.some((r) => seen.has(r)),
+      `one of ${rules} is among ${[...seen]}`,
+    );
+  });
--- a/test/sim/stands.ts
+++ b/test/sim/stands.ts
@@ -7,14 +7,26 @@
   readonly body?: unknown;
 }
 
+interface Logged {
+  readonly key: string;
+  readonly v?: unknown;
+  readonly mark: number;
+  readonly drop: boolean;
+}
+
 export class StateStand {
   rev = 0;
   down = false;
   readonly keys = new Map<string, { v: unknown; mark: number; lease: number | undefined }>();
   readonly #leases = new Map<number, { ttl: number; until: number }>();
-  #log: { key: string; v?: unknown; mark: number; drop: boolean }[] = [];
+  #log: Logged[] = [];
   #waiters: (() => void)[] = [];
   #lease = 0;
+  /** Puts and deletes asked for, for counting what the service writes. */
+  writes = 0;
+  /** A sabotaged service applies transactions whatever their conditions. */
+  heedsConditions = true;
+  onChange: (key: string) => void = () => undefined;
 
   constructor(private readonly clock: SimClock) {}
 
@@ -42,6 +54,19 @@
     const waiters = this.#waiters;
     this.#waiters = [];
     for (const w of waiters) w();
+    this.onChange(key);
+  }
+
+  /** The log's changes after a revision; it is in their order. */
+  #since(from: number): readonly Logged[] {
+    let lo = 0;
+    let hi = this.#log.length;
+    while (lo < hi) {
+      const mid = (lo + hi) >> 1;
+      if ((this.#log[mid]?.mark ?? 0) <= from) lo = mid + 1;
+      else hi = mid;
+    }
+    return this.#log.slice(lo);
   }
 
   async handle(method: string, path: string, body: Body | undefined): Promise<Out> {
@@ -54,6 +79,13 @@
       this.#leases.set(++this.#lease, { ttl, until: this.clock.now + ttl });
       return { status: 200, body: { tenure: this.#lease } };
     }
+    const end = /^\/grants\/(\d+)$/.exec(url.pathname);
+    if (end && method === "DELETE") {
+      const l = this.#leases.get(Number(end[1]));
+      if (l !== undefined) l.until = this.clock.now;
+      this.#expire();
+      return { status: 200, body: {} };
+    }
     const touch = /^\/grants\/(\d+)\/touch$/.exec(url.pathname);
     if (touch) {
       const l = this.#leases.get(Number(touch[1]));
@@ -66,7 +98,7 @@
       const from = Number(url.searchParams.get("from"));
       const end = this.clock.now + Number(url.searchParams.get("blockMs"));
       for (;;) {
-        const log = this.#log.filter((c) => c.mark > from && c.key.startsWith(starts));
+        const log = this.#since(from).filter((c) => c.key.startsWith(starts));
         if (log.length > 0 || this.clock.now >= end) {
           const rows = log.map((c) =>
             c.drop ? { drop: c.key, mark: c.mark } : { write: c.key, v: c.v, mark: c.mark },
@@ -98,7 +130,8 @@
   #txn(body: Body): Out {
     const conds = body.if as { path: string; mark: number }[];
     const failed = conds.filter((c) => (this.keys.get(c.path)?.mark ?? 0) !== c.mark);
-    if (failed.length > 0)
+    this.writes += (body.apply as unknown[]).length;
+    if (failed.length > 0 && this.heedsConditions)
       return { status: 409, body: { failed: failed.map((c) => c.path), ledger: this.rev } };
     const ops = body.apply as { write?: string; v?: unknown; drop?: string; tenure?: number }[];
     if (ops.some((o) => o.tenure !== undefined && !this.#leases.has(o.tenure)))
@@ -155,7 +188,7 @@
       return { status: 200, body: { looms: ids } };
     }
     if (path === "/machines/return") {
-      for (const id of (body?.looms ?? []) as string[]) this.take(id);
+      if (this.returns) for (const id of (body?.looms ?? []) as string[]) this.take(id);
       return { status: 200, body: {} };
     }
     const looms = [...this.up.values()].map((m) => ({
@@ -170,6 +203,9 @@
     return { status: 200, body: { looms, hasNext: false } };
   }
 
+  /** A sabotaged cloud says that machines are gone, and leaves them running. */
+  returns = true;
+
   take(id: string): void {
     if (this.up.delete(id)) this.end(id);
   }
@@ -195,6 +231,10 @@
   alive = true;
   /** A hanging machine executes nothing and says nothing, and may come back. */
   hangs = false;
+  /** Its reports arrive; answers and commands don't reach it. */
+  deaf = false;
+  /** A sabotaged worker executes commands whatever their token and session. */
+  heedsTokens = true;
   session = 1;
   seq = 0;
   token = 0;
@@ -269,6 +309,11 @@
       const session = this.session;
       const r = await this.hooks.beat(this.nodes[this.#node] as string, this.report());
       if (!this.alive || this.hangs) continue;
+      if (this.deaf) {
+        this.#node = (this.#node + 1) % this.nodes.length;
+        await this.clock.sleep(1000);
+        continue;
+      }
       const body = (r?.body ?? {}) as Body;
       if (r?.status === 200) {
         const token = Number(body.baton);
@@ -329,8 +374,8 @@
   handle(path: string, body: Body | undefined): Out {
     if (path === "/status") return { status: 200, body: this.report() };
     const token = Number(body?.baton);
-    if (token < this.token || Number(body?.shift) !== this.session)
-      return { status: 409, body: this.report() };
+    const stale = token < this.token || Number(body?.shift) !== this.session;
+    if (stale && this.heedsTokens) return { status: 409, body: this.report() };
     if (token > this.token) this.#changed = true;
     this.token = token;
     this.#execute(body?.orders as Body[]);
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -10,18 +10,16 @@
 import { CloudStand, type Out, StateStand, WorkerStand } from "./stands.js";
 
 type Body = Record<string, unknown>;
-const LABELS = ["n-0", "n-1", "n-2"];
 const LEASE_MS = 21_000;
 const CANCEL_MS = 46_000;
-const QUOTA_CPUS = 24;
 const over = (v: unknown): unknown => (v === undefined ? undefined : decode(encode(v)));
 
-const settingsOf = (n: number): Settings => {
-  const seeds = LABELS.flatMap((label, i) =>
+const settingsOf = (n: number, labels: readonly string[], quota: number): Settings => {
+  const seeds = labels.flatMap((label, i) =>
     i === n ? [] : [`[[seeds]]\nlabel = "${label}"\narea = "z"\naddress = "10.0.0.${i}:2"`],
   );
   const parsed = parseSettings(`
-label = "${LABELS[n]}"
+label = "${labels[n]}"
 area = "z"
 front = "10.0.0.${n}:1"
 internal_addr = "10.0.0.${n}:2"
@@ -30,9 +28,9 @@
 cloud = "10.2.0.2:1"
 state = "10.2.0.1:1"
 [params]
-size = 3
+size = ${labels.length}
 zones = ["a", "b"]
-${["t0", "t1", "t2", "t3"].map((t) => `[[params.teams]]\nname = "${t}"\ncpus = 8.0\ncpus_max = ${QUOTA_CPUS}.0`).join("\n")}
+${["t0", "t1", "t2", "t3"].map((t) => `[[params.teams]]\nname = "${t}"\ncpus = 8.0\ncpus_max = ${quota}.0`).join("\n")}
 [[params.objectives]]
 kind = "wait"
 class = "c"
@@ -77,6 +75,8 @@
 
 interface UserJob {
   readonly spec: Body;
+  readonly submittedAt: number;
+  startedAt: number | null;
   accepted: boolean;
   cancelAskedAt: number | null;
   cancelToldAt: number | null;
@@ -90,8 +90,41 @@
   readonly crashes: boolean;
   readonly outages: boolean;
   readonly deaths: boolean;
+  /** Machines whose reports arrive while nothing reaches them, for less and for more than a lease. */
+  readonly oneWay?: boolean;
+  /** Reports come again, seconds to several leases later, whoever holds or leads by then. */
+  readonly lateCopies?: boolean;
+  /** One controller loses the state service and the others, but not its workers. */
+  readonly cut?: boolean;
+  /** One controller is refused by the state service, while the others are served. */
+  readonly refused?: boolean;
+  /** One controller can't reach its workers, nor they it. */
+  readonly noWorkers?: boolean;
+  /** Controllers refuse one another's connections. */
+  readonly peersRefuse?: boolean;
+  /** Processes end just as they take leadership or a share, and are back at once. */
+  readonly elections?: boolean;
+  /** More than half of the machines vanish within seconds. */
+  readonly wave?: boolean;
 }
 
+export interface Scale {
+  readonly nodes: number;
+  readonly machines: number;
+  readonly quota: number;
+  readonly tasks: number;
+}
+
+const SMALL: Scale = { nodes: 3, machines: 14, quota: 24, tasks: 8 };
+
+/** A guard that a test breaks, to show that the checks notice. */
+export type Sabotage = "conditions" | "tokens" | "returns" | "finals" | "no_service" | "cancels";
+
+/** When the troubles end; from then on no job may go without an answer for this long. */
+const CALM_MS = 125_000;
+const FORGOTTEN_MS = 75_000;
+const BEGIN_MS = 240_000;
+
 /** A small world with a checker of PROTOCOL's rules; everything in it follows from the seed. */
 export class World {
   readonly clock: SimClock;
@@ -104,21 +137,37 @@
   readonly #nodes: ({ readonly node: Node; alive: boolean } | undefined)[] = [];
   /** Where each task is, by the workers' own word. */
   readonly #on = new Map<string, Set<WorkerStand>>();
+  readonly #labels: readonly string[];
+  readonly #cpusOf = new Map<string, number>();
   #inc = 0;
+  /** Controllers in a trouble of their own. */
+  readonly #cut = new Set<number>();
+  readonly #refused = new Set<number>();
+  readonly #noWorkers = new Set<number>();
+  #peersRefuse = false;
+  /** Calls of the whole day by kind, for bounding work by counts. */
+  readonly calls = { state: 0, workers: 0, beats: 0 };
 
   constructor(
     seed: number,
     private readonly trouble: Trouble,
+    private readonly scale: Scale = SMALL,
+    private readonly sabotage?: Sabotage,
   ) {
+    this.#labels = Array.from({ length: scale.nodes }, (_, i) => `n-${i}`);
     this.clock = new SimClock(seed);
     this.#state = new StateStand(this.clock);
+    this.#state.heedsConditions = sabotage !== "conditions";
+    this.#state.onChange = (key) => this.#stateChanged(key);
     this.#cloud = new CloudStand(
       TYPES,
-      14,
+      scale.machines,
       (m) =>
         this.clock.after(this.clock.between(1000, 20_000), () => {
           if (!this.#cloud.up.has(m.id)) return;
-          this.#workers.set(m.id, new WorkerStand(this.clock, m, LABELS, LEASE_MS, this.#hooks()));
+          const w = new WorkerStand(this.clock, m, this.#labels, LEASE_MS, this.#hooks());
+          w.heedsTokens = sabotage !== "tokens";
+          this.#workers.set(m.id, w);
         }),
       (id) => {
         this.#workers.get(id)?.die();
@@ -131,10 +180,20 @@
     return {
       began: (w: WorkerStand, task: string) => this.#began(w, task),
       left: (w: WorkerStand, task: string) => {
-        this.#on.get(task)?.delete(w);
+        if (this.#on.get(task)?.delete(w) !== true) return;
+        const spec = this.jobs.get(task.split("/")[0] as string)?.spec;
+        const crew = String(spec?.crew);
+        this.#cpusOf.set(crew, (this.#cpusOf.get(crew) ?? 0) - Number(spec?.cpus ?? 0));
       },
       runMs: () => this.clock.between(3000, 20_000),
-      beat: (node: string, report: Body) => this.#toNode(node, "POST", "/agent/beat", report),
+      beat: (node: string, report: Body) => {
+        this.calls.beats++;
+        if (this.trouble.lateCopies === true && this.clock.random() < 0.1)
+          this.clock.after(this.clock.between(2000, 4 * LEASE_MS), () => {
+            void this.#toNode(this.#anyNode(), "POST", "/agent/beat", report);
+          });
+        return this.#toNode(node, "POST", "/agent/beat", report);
+      },
     };
   }
 
@@ -157,12 +216,11 @@
     const spec = j.spec;
     if (w.rented.spot && spec.remnant !== true) this.#break("wrong_place", `${task} on spot`);
     if (spec.oneZone === true && this.#zonesOf(id).size > 1) this.#break("wrong_place", task);
-    let cpus = 0;
-    for (const [t, ws] of this.#on) {
-      const s = this.jobs.get(t.split("/")[0] as string)?.spec;
-      if (s?.crew === spec.crew) cpus += ws.size * Number(s?.cpus);
-    }
-    if (cpus > QUOTA_CPUS) this.#break("quota", `${spec.crew} ${cpus}`);
+    j.startedAt ??= this.clock.now;
+    const crew = String(spec.crew);
+    const cpus = (this.#cpusOf.get(crew) ?? 0) + Number(spec.cpus);
+    this.#cpusOf.set(crew, cpus);
+    if (cpus > this.scale.quota) this.#break("quota", `${crew} ${cpus}`);
     if (j.cancelToldAt !== null && this.clock.now - j.cancelToldAt > CANCEL_MS)
       this.#break("ran_cancelled", task);
   }
@@ -223,26 +281,40 @@
   }
 
   boot(n: number): void {
+    this.#cloud.returns = this.sabotage !== "returns";
     const self = { alive: true };
     const isAlive = (): boolean => self.alive;
     const ways = {
-      state: this.#way(isAlive, (_a, method, path, body) => this.#state.handle(method, path, body)),
+      state: this.#way(isAlive, (_a, method, path, body) => {
+        if (this.#cut.has(n)) return undefined;
+        if (this.#refused.has(n)) return { status: 503 };
+        this.calls.state++;
+        if (this.sabotage === "finals" && path.startsWith("/store/final/"))
+          return { status: 404, body: { ledger: this.#state.rev } };
+        return this.#state.handle(method, path, body);
+      }),
       cloud: this.#way(isAlive, (_a, _m, path, body) => this.#cloud.handle(path, body)),
       workers: this.#way(isAlive, (address, _m, path, body) => {
         const w = this.#workers.get(address.split(":")[0] as string);
-        return w === undefined || w.hangs ? undefined : w.handle(path, body);
+        if (w === undefined || w.hangs || w.deaf || this.#noWorkers.has(n)) return undefined;
+        this.calls.workers++;
+        if (this.sabotage === "cancels" && path === "/orders")
+          for (const o of (body?.orders ?? []) as Body[]) if (o.verb === "kill") o.verb = "none";
+        return w.handle(path, body);
       }),
       peers: this.#way(isAlive, async (address, method, path, body) => {
-        const to = this.#nodes[Number(address.split(":")[0]?.split(".")[3])];
-        if (to === undefined || !to.alive) return undefined;
-        const bytes = Buffer.from(body as unknown as Uint8Array);
+        const at = Number(address.split(":")[0]?.split(".")[3]);
+        const to = this.#nodes[at];
+        if (to === undefined || !to.alive || this.#peersRefuse) return undefined;
+        if (this.#cut.has(n) || this.#cut.has(at)) return undefined;
+        const bytes = Buffer.from((body as unknown as Uint8Array | undefined) ?? []);
         return { status: (await to.node.inner({ method, path, bytes })).status };
       }),
     };
     const node = makeNode(
-      settingsOf(n),
+      settingsOf(n, this.#labels, this.scale.quota),
       defaultOperators(),
-      makeLogger("error", { node: LABELS[n] }, (line) => {
+      makeLogger("error", { node: this.#labels[n] }, (line) => {
         if (this.trouble.lost === 0) this.broken.push(line);
       }),
       ways,
@@ -274,10 +346,13 @@
     path: string,
     body?: Body,
   ): Promise<Out | undefined> {
-    const n = LABELS.indexOf(label);
+    const n = this.#labels.indexOf(label);
     const r = await this.#call(async () => {
       const slot = this.#nodes[n];
       if (slot === undefined) return undefined;
+      if (path === "/agent/beat" && this.#noWorkers.has(n)) return undefined;
+      if (path.endsWith("/withdraw") && this.sabotage === "cancels")
+        return { status: 200, body: { stage: "cancelled" } };
       const bytes = body === undefined ? Buffer.alloc(0) : encode(body);
       const a: Answer = await slot.node.front({ method, path, bytes });
       return slot.alive ? { status: a.status, body: a.body } : undefined;
@@ -286,13 +361,15 @@
   }
 
   #anyNode(): string {
-    return LABELS[Math.floor(this.clock.random() * LABELS.length)] as string;
+    return this.#labels[Math.floor(this.clock.random() * this.#labels.length)] as string;
   }
 
   /** One user: submits until answered, polls until the end, perhaps cancels, asks again later. */
   async user(id: string, spec: Body, cancelAfterMs: number | null): Promise<void> {
     const j: UserJob = {
       spec,
+      submittedAt: this.clock.now,
+      startedAt: null,
       accepted: false,
       cancelAskedAt: null,
       cancelToldAt: null,
@@ -327,6 +404,12 @@
   }
 
   #check(id: string, j: UserJob, r: Out | undefined): void {
+    const { now } = this.clock;
+    const unanswered = now - Math.max(j.lastAnswerAt, CALM_MS);
+    if (r?.status !== 200 && unanswered > FORGOTTEN_MS) {
+      this.#break("forgotten", `${id} unanswered`);
+      j.lastAnswerAt = now;
+    }
     if (r?.status === 404) this.#break("forgotten", id);
     if (r?.status !== 200) return;
     j.lastAnswerAt = this.clock.now;
@@ -345,7 +428,7 @@
 
   /** Plays a day: jobs, troubles, and then calm in which everything must come to its end. */
   async day(jobs: number): Promise<void> {
-    for (let n = 0; n < LABELS.length; n++) this.boot(n);
+    if (this.sabotage !== "no_service") for (let n = 0; n < this.#labels.length; n++) this.boot(n);
     for (let i = 0; i < jobs; i++) {
       const id = `wk-${String(i + 1).padStart(6, "0")}`;
       const spec = {
@@ -354,7 +437,7 @@
         crew: `t${Math.floor(this.clock.random() * 4)}`,
         pattern: "sweep",
         rank: this.clock.random() < 0.5 ? "high" : "normal",
-        threads: 1 + Math.floor(this.clock.random() * 8),
+        threads: 1 + Math.floor(this.clock.random() * this.scale.tasks),
         cpus: 4,
         gpus: 0,
         ramGb: 10,
@@ -371,7 +454,7 @@
     if (t.crashes)
       for (let i = 0; i < 6; i++) {
         const back = this.clock.random() < 0.4 ? 200 : 6000;
-        const n = Math.floor(this.clock.random() * 3);
+        const n = Math.floor(this.clock.random() * this.#labels.length);
         this.clock.after(this.clock.between(10_000, 110_000), () => this.crash(n, back));
       }
     if (t.outages) {
@@ -397,6 +480,84 @@
             });
           } else w.die();
         });
+    this.#moreTroubles();
     await this.clock.runUntil(260_000);
+    this.#served();
+  }
+
+  /** Something happens to a random controller for a while. */
+  #episode(set: Set<number>, fromMs: number, forMs: number): void {
+    this.clock.after(fromMs, () => {
+      const n = Math.floor(this.clock.random() * this.#labels.length);
+      set.add(n);
+      this.clock.after(forMs, () => set.delete(n));
+    });
+  }
+
+  #moreTroubles(): void {
+    const t = this.trouble;
+    const { clock } = this;
+    if (t.oneWay === true)
+      for (let i = 0; i < 6; i++)
+        clock.after(clock.between(20_000, 80_000), () => {
+          const all = [...this.#workers.values()];
+          const w = all[Math.floor(clock.random() * all.length)];
+          if (w === undefined) return;
+          w.deaf = true;
+          clock.after(clock.between(3000, 2 * LEASE_MS), () => {
+            w.deaf = false;
+          });
+        });
+    if (t.cut === true) this.#episode(this.#cut, clock.between(25_000, 60_000), 45_000);
+    if (t.refused === true) this.#episode(this.#refused, clock.between(25_000, 60_000), 45_000);
+    if (t.noWorkers === true) this.#episode(this.#noWorkers, clock.between(25_000, 60_000), 45_000);
+    if (t.peersRefuse === true)
+      clock.after(clock.between(20_000, 60_000), () => {
+        this.#peersRefuse = true;
+        clock.after(40_000, () => {
+          this.#peersRefuse = false;
+        });
+      });
+    if (t.wave === true)
+      clock.after(clock.between(40_000, 80_000), () => {
+        for (const [id, w] of [...this.#workers])
+          if (clock.random() < 0.55)
+            clock.after(clock.between(0, 10_000), () => {
+              w.die();
+              this.#workers.delete(id);
+              this.#cloud.take(id);
+            });
+      });
+  }
+
+  /** A process ends within a fraction of a second of what it wrote, and is back at once. */
+  #stateChanged(key: string): void {
+    if (this.trouble.elections !== true || this.clock.now > CALM_MS - 20_000) return;
+    if (key !== "now/leader" && !key.startsWith("now/share/")) return;
+    if (this.clock.random() > 0.25) return;
+    const n = Math.floor(this.clock.random() * this.#labels.length);
+    this.clock.after(this.clock.between(0, 300), () => this.crash(n, this.clock.between(50, 600)));
+  }
+
+  /** Half of each team and of the largest tenth must be served, and the largest begin in time. */
+  #served(): void {
+    const asked = [...this.jobs].filter(([, j]) => j.cancelAskedAt === null);
+    const served = ([, j]: (typeof asked)[number]): boolean => j.told === "done";
+    const groups = new Map<string, typeof asked>();
+    for (const row of asked) {
+      const crew = String(row[1].spec.crew);
+      groups.set(crew, [...(groups.get(crew) ?? []), row]);
+    }
+    const bySize = [...asked].sort(
+      ([, a], [, b]) => Number(b.spec.threads) - Number(a.spec.threads),
+    );
+    const largest = bySize.slice(0, Math.max(1, Math.ceil(asked.length / 10)));
+    groups.set("the largest", largest);
+    groups.set("all", asked);
+    for (const [name, rows] of groups)
+      if (rows.filter(served).length * 2 < rows.length) this.#break("unserved", name);
+    for (const [id, j] of largest)
+      if ((j.startedAt ?? Number.POSITIVE_INFINITY) - j.submittedAt > BEGIN_MS)
+        this.#break("unserved", `${id} did not begin`);
   }
 }
