--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -10,6 +10,7 @@
   readonly silenceS: number;
   readonly swarmPeriodS: number;
   readonly swarmMoves: number;
+  readonly swarmPart: number;
   readonly swarmMaxLossS: number;
   readonly fleetPeriodMs: number;
   readonly idleReturnS: number;
@@ -55,6 +56,7 @@
   knob("machines", "silence_s", "silenceS", 1, 86_400, 6.5),
   knob("swarm", "period_s", "swarmPeriodS", 0.1, 86_400, 5),
   knob("swarm", "moves_per_round", "swarmMoves", 0, 10_000, 2),
+  knob("swarm", "part_per_round", "swarmPart", 0, 1, 0.05),
   knob("swarm", "max_loss_s", "swarmMaxLossS", 0, 86_400, 4),
   knob("fleet", "period_ms", "fleetPeriodMs", 50, 60_000, 1000),
   knob("fleet", "idle_return_s", "idleReturnS", 0, 86_400, 25),
--- a/src/coordination/batch.ts
+++ b/src/coordination/batch.ts
@@ -59,6 +59,8 @@
   readonly #conditions = new Map<string, Revision>();
   #bytes = 0;
   #ops = 0;
+  /** Something in it is waited for: a start, a job's end, a machine's record. */
+  pressing = false;
 
   constructor(
     private readonly replica: Replica,
@@ -174,6 +176,7 @@
   /** A start stands only while its job is as it was read: not cancelled meanwhile. */
   requireJob(id: JobId, rev: Revision): boolean {
     const key = keys.live(id);
+    this.pressing = true;
     if (this.#conditions.has(key)) return true;
     if (!this.#admits(0, 0, 1)) return false;
     this.#require(key, rev);
@@ -184,6 +187,7 @@
   finish(share: ShareNo, id: JobId, rev: Revision, final: FinalJob): boolean {
     if (!this.#admits(3, FINAL_BYTES, 4)) return false;
     if (!this.putJob(share, id, null)) return false;
+    this.pressing = true;
     this.#finals.set(id, final);
     this.#ops += 2;
     this.#bytes += FINAL_BYTES;
@@ -195,6 +199,7 @@
 
   /** The machines of a page as they are to be written, or undefined if there is no room. */
   editFleet(key: string): Map<MachineId, MachineRecord> | undefined {
+    this.pressing = true;
     const known = this.#fleet.get(key);
     if (known !== undefined) return known.machines;
     const page = this.replica.fleetPages.get(key);
--- a/src/coordination/health.ts
+++ b/src/coordination/health.ts
@@ -5,7 +5,7 @@
  *
  * `served`: it answers. `outage`: it refuses, and as far as is known it refuses everybody: what is
  * held stays held, for every lease has its full time again afterwards. `alone`: others are served,
- * or nobody at all can be reached: what is held here is lapsing, and others will take it.
+ * or it can't be reached from here: what is held here is lapsing, and others will take it.
  */
 export type Standing = "served" | "outage" | "alone";
 
@@ -23,13 +23,15 @@
   readonly answeredAt: Mono;
   readonly refusedAt: Mono;
   readonly unansweredAt: Mono;
-  /** Of the other controllers: how many say that they are served, and how many answered at all. */
+  /** How many of the other controllers say that they are served. */
   readonly peersServed: number;
-  readonly peersHeard: number;
 }
 
-/** Calls answer within milliseconds, now and then a few hundred: less than this is no trouble. */
-export const TROUBLE_MS = 1200;
+/**
+ * Calls answer within milliseconds, now and then a few hundred. In less time than this the others
+ * may not have noticed an outage themselves, and would say that they are served.
+ */
+export const TROUBLE_MS = 2500;
 
 /** The one place where a standing changes. */
 export const stepHealth = (h: Health, e: Evidence): Health => {
@@ -37,9 +39,8 @@
   if (!failing) return h.standing === "served" ? h : HEALTHY;
   const since = h.since ?? e.now;
   if (e.now - since < TROUBLE_MS) return { standing: h.standing, since };
-  // An outage answers 503 to everybody. Refused while another is served, it is ours alone; with
-  // neither the service nor any other controller to be reached, so is the cut.
-  const cut = e.unansweredAt > e.refusedAt && e.peersHeard === 0;
-  const alone = e.peersServed > 0 || cut;
+  // An outage answers 503 to everybody. Refused while another is served, it is ours alone; and so
+  // is a cut, whichever other controllers are behind it with us.
+  const alone = e.peersServed > 0 || e.unansweredAt > e.refusedAt;
   return { standing: alone ? "alone" : "outage", since };
 };
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -18,6 +18,8 @@
 const MOVE_MS = 10_000;
 /** How often all open attempts are looked at, whether or not anything was heard of them. */
 const SWEEP_MS = 1000;
+/** How long ends of tasks may wait for company, if nothing else is to be written. */
+const LAZY_MS = 700;
 /** A round is decided once this many changes may be written; a larger one is paid off after. */
 const LEAST_WRITES = 2;
 
@@ -34,6 +36,7 @@
   #sweptAt: Mono = mono(Number.NEGATIVE_INFINITY);
   #sweptVersion = -1;
   #turn = 0;
+  #lazySince: Mono | undefined;
 
   constructor(
     private readonly ctx: Context,
@@ -106,6 +109,17 @@
       callAll();
       return "idle";
     }
+    // Ends alone are not waited for by anybody: they gather until a start or a second comes along.
+    if (!batch.pressing) {
+      this.#lazySince ??= now;
+      const waitMs = LAZY_MS - (now - this.#lazySince);
+      if (waitMs > 0) {
+        for (const id of looked) held.disturbed.add(id);
+        callAll();
+        return { pauseMs: waitMs };
+      }
+    }
+    this.#lazySince = undefined;
     const t = batch.txn();
     if (!ctx.store.mayWriteBatch(t.ops.length, LEAST_WRITES)) {
       for (const id of looked) held.disturbed.add(id);
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -27,6 +27,7 @@
   type DemandGroup,
   type FleetMachine,
   type FleetPlan,
+  idleMoves,
   offerKey,
   planFleet,
   type Rent,
@@ -59,6 +60,10 @@
 const LIST_EVERY_MS = 15_000;
 /** How long a machine may take to be vacated before another is asked for. */
 const VACATE_MS = 6000;
+/** The same for a machine that is idle. */
+const GIVE_MS = 3000;
+/** A job is this old before its holder must have laid it over its own machines. */
+const SETTLE_MS = 150;
 /** Machines returned lately, whose late reports must not have them adopted again. */
 const RETURNED_KEPT = 10_000;
 /** Strangers asked at a time, and how long they have to answer. */
@@ -83,8 +88,8 @@
   readonly #adoptable = new Map<MachineId, Omit<NewMachine, "share">>();
   /** When each open attempt was first seen in the records. */
   #openSince: ReadonlyMap<string, Mono> = new Map();
-  /** Machines asked to be vacated: they count as their new share's until that has failed. */
-  readonly #vacating = new Map<MachineId, { readonly to: ShareNo; readonly until: Mono }>();
+  /** Machines asked to be moved: they count as their new share's until that has failed. */
+  readonly #given = new Map<MachineId, { readonly to: ShareNo; readonly until: Mono }>();
   #typesAt: Mono = mono(Number.NEGATIVE_INFINITY);
   #listAt: Mono = mono(Number.NEGATIVE_INFINITY);
   #plannedAt: Mono = steadyNow();
@@ -99,7 +104,8 @@
     private readonly peers: Calls,
     private readonly workers: Calls,
   ) {
-    this.#budget = new Budget(ctx.settings.cloud.rps * 0.9, 1.5, steadyNow());
+    const { rps } = ctx.settings.cloud;
+    this.#budget = new Budget(rps * 0.9, rps * 1.35, steadyNow());
   }
 
   /** Only applied while this controller leads. */
@@ -439,10 +445,10 @@
       const open = work.openOn(id);
       if (open.size > 0) this.#idleSince.delete(id);
       else if (!this.#idleSince.has(id)) this.#idleSince.set(id, now);
-      const vacated = this.#vacating.get(id);
-      if (vacated !== undefined && (vacated.until <= now || m.share === vacated.to))
-        this.#vacating.delete(id);
-      const given = this.#vacating.get(id)?.to;
+      const asked = this.#given.get(id);
+      if (asked !== undefined && (asked.until <= now || m.share === asked.to))
+        this.#given.delete(id);
+      const given = this.#given.get(id)?.to;
       let use = NOTHING;
       const tasks: FleetMachine["tasks"][number][] = [];
       for (const [task, o] of open) {
@@ -495,12 +501,51 @@
       size: settings.size,
     });
     if (this.ctx.log.enabled("debug")) this.#logPlan(machines, plan);
-    for (const m of plan.moves)
-      if (m.vacate) this.#vacating.set(m.machine, { to: m.to, until: mono(now + VACATE_MS) });
+    this.#give(plan.moves, now);
     await this.#ask(plan.moves, plan.returns);
     await this.#intend(plan.rents);
   }
 
+  #give(moves: readonly MoveRequest[], now: Mono): void {
+    for (const m of moves) {
+      const until = mono(now + (m.vacate ? VACATE_MS : GIVE_MS));
+      this.#given.set(m.machine, { to: m.to, until });
+    }
+  }
+
+  /**
+   * Between two plans: idle machines go to shares whose tasks wait, for an array that arrives at
+   * one share may want more than its part of what is idle. Looks at idle machines only; what its
+   * own machines have room for a share's holder has placed by then.
+   */
+  async rebalance(): Promise<void> {
+    const { replica, settings } = this.ctx;
+    const types = replica.types?.value;
+    if (!this.ctx.synced || !this.membership.leads() || types === undefined) return;
+    const now = steadyNow();
+    const at = timeOfDay();
+    let waits = false;
+    for (const [, j] of replica.allJobs())
+      if (waitingCount(j) > 0 && at - j.acceptedAt > SETTLE_MS) waits = true;
+    if (!waits) return;
+    const machines: FleetMachine[] = [];
+    for (const [id, m] of replica.machines) {
+      if (m.stage !== "up" || m.endpoint === "" || replica.isGone(id)) continue;
+      if (replica.work(m.share).openOn(id).size > 0) continue;
+      const type = this.#type(m.type);
+      if (type === undefined) continue;
+      const asked = this.#given.get(id);
+      const share = asked === undefined || asked.until <= now ? m.share : asked.to;
+      const { zone, spot } = m;
+      const row = { id, share, type, zone, spot, up: true, use: NOTHING, open: 0, tasks: [] };
+      machines.push({ ...row, idleS: 0, heldS: 0 });
+    }
+    if (machines.length === 0) return;
+    const moves = idleMoves({ types, machines, demand: this.#demand(0), size: settings.size });
+    this.#give(moves, now);
+    await this.#ask(moves, []);
+  }
+
   #logPlan(machines: readonly FleetMachine[], plan: FleetPlan): void {
     const { replica } = this.ctx;
     for (const share of replica.shares.keys()) {
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -51,15 +51,14 @@
     return this.#health.standing !== "alone" && steadyNow() >= this.#resignedUntil;
   }
 
-  look(peers: { readonly served: number; readonly heard: number }): Standing {
+  look(peersServed: number): Standing {
     const { store, log } = this.ctx;
     const next = stepHealth(this.#health, {
       now: steadyNow(),
       answeredAt: store.answeredAt,
       refusedAt: store.refusedAt,
       unansweredAt: store.unansweredAt,
-      peersServed: peers.served,
-      peersHeard: peers.heard,
+      peersServed,
     });
     if (next.standing !== this.#health.standing) log.info("standing", { standing: next.standing });
     this.#health = next;
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -46,6 +46,9 @@
 /** Most tasks a round makes room for: each looks at all that stands in the share. */
 const PREEMPTS_A_ROUND = 24;
 
+/** Spot prices move by a third; what costs this many times the cheapest is of another kind. */
+const DEAR = 2;
+
 const NO_CLOSED: ReadonlySet<TaskId> = new Set();
 
 /** Where a job's other open attempts stand, as `oneZone` and `apart` judge them. */
@@ -69,11 +72,13 @@
   const { replica } = held.ctx;
   const work = replica.work(share);
   const out = new Map<MachineId, Place>();
+  const perCpu = (price: number, cpus: number): number => price / Math.max(1, cpus);
   const types = replica.types?.value ?? [];
   const shapes = distinctNeeds([...work.jobs.values()].map((j) => j.spec.needs));
   const byName = new Map(
     types.map((type) => [type.name, { type, rivals: contenders(type.capacity, shapes) }]),
   );
+  const cheapest = Math.min(...types.map((t) => perCpu(t.spotPrice, t.capacity.cpus)));
   for (const [id, s] of held.sessions) {
     const m = replica.machines.get(id);
     if (m === undefined || m.share !== share || m.stage !== "up") continue;
@@ -92,6 +97,7 @@
       use = plus(use, needs);
       least = lesser(least, needs);
     }
+    const price = m.spot ? known.type.spotPrice : known.type.price;
     out.set(id, {
       id,
       type: m.type,
@@ -100,7 +106,8 @@
       capacity: known.type.capacity,
       use,
       least,
-      price: m.spot ? known.type.spotPrice : known.type.price,
+      price,
+      dear: perCpu(price, known.type.capacity.cpus) > DEAR * cheapest,
       fetchGbPerS: known.type.fetchGbPerS,
       images: note.images,
       contenders: known.rivals,
@@ -118,11 +125,15 @@
 export const swarm = (held: Held, share: ShareNo, now: Mono): void => {
   const { replica, operators, random, log } = held.ctx;
   const work = replica.work(share);
-  // While tasks wait, every freed place fills anyway.
-  for (const j of work.jobs.values()) if (waitingCount(j) > 0) return;
   const places = placesOf(held, share, new Map(), new Set());
+  const waiting = [...work.jobs.values()].filter((j) => waitingCount(j) > 0);
   const machines: SwarmMachine[] = [];
   for (const p of places.values()) {
+    // Where a task that waits fits, the place fills by itself; and so would what a move freed.
+    const wanted = waiting.some(
+      (j) => fits(j.spec.needs, p.capacity) && permitted(j.spec, p, zoneCounts(held, j)),
+    );
+    if (wanted) continue;
     const tasks: SwarmTask[] = [];
     let use = p.use;
     for (const [task, o] of work.openOn(p.id)) {
@@ -151,7 +162,7 @@
     machines.push({ id: p.id, capacity: p.capacity, use, tasks });
   }
   const moves = swarmRound(machines, random, {
-    cap: operators.swarmMoves,
+    cap: Math.max(operators.swarmMoves, Math.floor(machines.length * operators.swarmPart)),
     maxLossS: operators.swarmMaxLossS,
   });
   for (const m of moves) {
@@ -205,7 +216,7 @@
         id,
         job,
         ageS: (at - job.acceptedAt) / 1000,
-        leadS: rate > 0 ? job.spec.imageGb / rate : 0,
+        leadS: rate > 0 && !this.#cached(job.spec.image) ? job.spec.imageGb / rate : 0,
         runS: held.runS(job.spec),
         owed: this.#owed.has(id),
       });
@@ -213,6 +224,13 @@
     return queueOrder(waiting, settings.objectives, operators.overdueS);
   }
 
+  /** Whether most machines of the share hold the image, so that no fetch need be reckoned with. */
+  #cached(image: string): boolean {
+    let n = 0;
+    for (const p of this.#places.values()) if (p.images.has(image)) n++;
+    return 2 * n > this.#places.size;
+  }
+
   /** What a team's open attempts take: every one counts until it is closed. */
   #teamUse(): Map<string, Resources> {
     const out = new Map<string, Resources>();
--- a/src/scheduling/fleet.ts
+++ b/src/scheduling/fleet.ts
@@ -206,42 +206,56 @@
   return { moves, short };
 };
 
+type Ground = Pick<FleetInput, "types" | "machines" | "demand" | "size">;
+
+const dear = (m: FleetMachine): number =>
+  (m.spot ? m.type.spotPrice : m.type.price) / Math.max(1, m.type.capacity.cpus);
+
 /**
- * What to rent, move and return. Shares divide the machines, but not the forecast: an idle machine
- * goes wherever tasks wait, so only what all of them together lack is rented, and only what none
- * of them wants is returned.
+ * The machines' free room, in the order it is filled: what fewest needs could use first; then the
+ * cheap and the full, so that the dear and the empty are left to be returned.
  */
-export const planFleet = (input: FleetInput): FleetPlan => {
+const roomsOf = (input: Ground): Room[] => {
   const shapes = distinctNeeds(input.demand.map((g) => g.needs));
   const rivals = new Map(input.types.map((t) => [t.name, contenders(t.capacity, shapes)]));
-  const dear = (m: FleetMachine): number =>
-    (m.spot ? m.type.spotPrice : m.type.price) / Math.max(1, m.type.capacity.cpus);
-  const makeRooms = (): Room[] => {
-    const rooms = input.machines.map((m) => ({
-      m,
-      free: minus(m.type.capacity, m.use),
-      taken: 0,
-      moved: false,
-      yielded: new Set<FleetMachine["tasks"][number]>(),
-    }));
-    // What fewest needs could use first; then the cheap and the full, so that the dear and the
-    // empty are left to be returned.
-    return rooms.sort(
-      (a, b) =>
-        (rivals.get(a.m.type.name) ?? 0) - (rivals.get(b.m.type.name) ?? 0) ||
-        dear(a.m) - dear(b.m) ||
-        b.m.open - a.m.open ||
-        a.m.idleS - b.m.idleS,
-    );
-  };
-  // Needs that few types can serve choose first.
+  const rooms = input.machines.map((m) => ({
+    m,
+    free: minus(m.type.capacity, m.use),
+    taken: 0,
+    moved: false,
+    yielded: new Set<FleetMachine["tasks"][number]>(),
+  }));
+  return rooms.sort(
+    (a, b) =>
+      (rivals.get(a.m.type.name) ?? 0) - (rivals.get(b.m.type.name) ?? 0) ||
+      dear(a.m) - dear(b.m) ||
+      b.m.open - a.m.open ||
+      a.m.idleS - b.m.idleS,
+  );
+};
+
+/** Needs that few types can serve choose first. */
+const byChoice = (input: Ground): readonly DemandGroup[] => {
   const choices = (g: DemandGroup): number =>
     input.types.filter((t) => fits(g.needs, t.capacity)).length;
-  const demand = [...input.demand].sort((a, b) => choices(a) - choices(b));
-  const { moves, short } = planMoves(demand, makeRooms());
+  return [...input.demand].sort((a, b) => choices(a) - choices(b));
+};
+
+/** Which idle machines go to shares that lack room, nothing else being moved for them. */
+export const idleMoves = (input: Ground): readonly MoveRequest[] =>
+  planMoves(byChoice(input), roomsOf(input)).moves;
+
+/**
+ * What to rent, move and return. Shares divide the machines, but not the forecast: an idle machine
+ * goes wherever tasks wait, so only what all of them together lack is rented, and only what none
+ * of them wants is returned.
+ */
+export const planFleet = (input: FleetInput): FleetPlan => {
+  const demand = byChoice(input);
+  const { moves, short } = planMoves(demand, roomsOf(input));
   const moved = new Set(moves.map((m) => m.machine));
 
-  const rooms = makeRooms();
+  const rooms = roomsOf(input);
   const asked = new Map<string, number>();
   for (const m of input.machines) {
     const key = offerKey(m.type.name, m.zone, m.spot);
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -14,6 +14,8 @@
   /** The smallest need of each resource that stands there; endless where nothing does. */
   least: Resources;
   readonly price: number;
+  /** Costs much more for what it holds than the cheapest about: left empty, to be returned. */
+  readonly dear: boolean;
   readonly fetchGbPerS: number;
   readonly images: { readonly has: (image: string) => boolean };
   readonly contenders: number;
@@ -53,6 +55,10 @@
   return [...out.values()];
 };
 
+/** What comes before p: machines that others need are spared, and so are those that cost much. */
+const worse = (a: Place, b: Place): number =>
+  a.contenders - b.contenders || Number(a.dear) - Number(b.dear);
+
 /**
  * The feasible machine that the fewest other needs could use, of those the one with the lowest p
  * after; ties go to a cached image, then to the lowest price. Null if none has room.
@@ -65,7 +71,7 @@
   let best: Place | null = null;
   let bestP = 0;
   for (const place of places) {
-    if (best !== null && place.contenders > best.contenders) continue;
+    if (best !== null && worse(place, best) > 0) continue;
     if (!fitsBeside(spec.needs, place.use, place.capacity)) continue;
     if (!permitted(spec, place, zones)) continue;
     const p = pheromone(
@@ -73,7 +79,7 @@
       place.capacity,
       lesser(place.least, spec.needs),
     );
-    if (best === null || place.contenders < best.contenders || p < bestP - 1e-9) {
+    if (best === null || worse(place, best) < 0 || p < bestP - 1e-9) {
       best = place;
       bestP = p;
       continue;
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -22,6 +22,7 @@
 const MIN_ROUND_GAP_MS = 15;
 const LOOK_MS = 400;
 const ADOPT_MS = 400;
+const REBALANCE_MS = 200;
 const PEER_MS = 800;
 const SERVED_PATH = "/served";
 
@@ -101,8 +102,7 @@
 
   const inner: Handler = (req): Answer => {
     // Whether the state service serves us: for one that it refuses, to tell its own trouble.
-    if (req.path === SERVED_PATH)
-      return { status: ctx.synced && membership.standing === "served" ? 204 : 503 };
+    if (req.path === SERVED_PATH) return { status: ctx.synced && !ctx.store.failing() ? 204 : 503 };
     if (req.path !== "/peer") return { status: 404 };
     if (req.method !== "POST") return { status: 405 };
     try {
@@ -174,18 +174,16 @@
 
   /** One look at how we stand; in trouble, the other controllers are asked how they do. */
   const look = async (): Promise<void> => {
-    const quiet = { served: 0, heard: 0 };
-    const failing = Math.max(ctx.store.refusedAt, ctx.store.unansweredAt) > ctx.store.answeredAt;
-    if (failing) {
+    let served = 0;
+    if (ctx.store.failing()) {
       const words = await Promise.all(
         settings.seeds.map((s) =>
           ways.peers.raw(s.address, "GET", SERVED_PATH, undefined, PEER_MS),
         ),
       );
-      quiet.heard = words.filter((w) => w.kind === "answer").length;
-      quiet.served = words.filter((w) => w.kind === "answer" && w.status === 204).length;
+      served = words.filter((w) => w.kind === "answer" && w.status === 204).length;
     }
-    membership.look(quiet);
+    membership.look(served);
     const others = ctx.replica.members.size > 1;
     if (
       holder.dealings.blind &&
@@ -228,6 +226,7 @@
       pass("watch", operators.watchPauseMs, follow),
       pass("rounds", MIN_ROUND_GAP_MS, rounds),
       pass("cloud", operators.fleetPeriodMs, () => leader.callCloud()),
+      pass("rebalance", REBALANCE_MS, () => leader.rebalance()),
       pass("fleet", operators.fleetPeriodMs, () => leader.plan()),
       pass("stats", operators.statsPeriodS * 1000, stats),
     ],
--- a/src/storage/budget.ts
+++ b/src/storage/budget.ts
@@ -1,26 +1,27 @@
 import type { Mono } from "../protocol/ids.js";
 
-/** A token bucket worth one second, as the state service and the cloud count. */
+/** A token bucket, as the state service and the cloud count. */
 export class Budget {
   #tokens: number;
   #at: Mono;
 
   constructor(
     private rate: number,
-    private readonly burstS: number,
+    private burst: number,
     now: Mono,
   ) {
-    this.#tokens = rate * burstS;
+    this.#tokens = burst;
     this.#at = now;
   }
 
-  setRate(rate: number, now: Mono): void {
+  set(rate: number, burst: number, now: Mono): void {
     this.#fill(now);
     this.rate = rate;
+    this.burst = burst;
   }
 
   #most(): number {
-    return Math.max(1, this.rate * this.burstS);
+    return Math.max(1, this.burst);
   }
 
   #fill(now: Mono): void {
--- a/src/storage/store.ts
+++ b/src/storage/store.ts
@@ -59,8 +59,8 @@
     private readonly calls: Calls,
     private members: number,
   ) {
-    this.#requests = new Budget(limits.rps / members, 1, steadyNow());
-    this.#writes = new Budget(limits.writeRps / members, 1, steadyNow());
+    this.#requests = new Budget(limits.rps / members, limits.rps / members, steadyNow());
+    this.#writes = new Budget(limits.writeRps / members, limits.writeRps / members, steadyNow());
   }
 
   /**
@@ -70,10 +70,17 @@
   shareWith(members: number, othersWrites: number): void {
     const now = steadyNow();
     this.members = members;
-    this.#requests.setRate(this.limits.rps / members, now);
-    const equal = this.limits.writeRps / members;
+    const requests = this.limits.rps / members;
+    this.#requests.set(requests, requests, now);
+    const equal = (this.limits.writeRps * USABLE) / members;
     const unused = this.limits.writeRps * USABLE - othersWrites;
-    this.#writes.setRate(Math.max(equal, Math.min(unused, equal * MOST_PARTS)), now);
+    // Bursts stay an equal part: those of all together must fit into the service's own second.
+    this.#writes.set(Math.max(equal, Math.min(unused, equal * MOST_PARTS)), equal, now);
+  }
+
+  /** The newest call was refused or came to nothing. */
+  failing(): boolean {
+    return Math.max(this.refusedAt, this.unansweredAt) > this.answeredAt;
   }
 
   mayRead(reserve = 0): boolean {
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -280,6 +280,10 @@
     };
   }
 
+  get writes(): number {
+    return this.#state.writes;
+  }
+
   boot(n: number): void {
     this.#cloud.returns = this.sabotage !== "returns";
     const self = { alive: true };
