A worker is claimed in one call, waves are noticed sooner; kinds of work share a bound by type

Cause: after a takeover each of some 280 machines took two calls; in a wave a dead machine was known after 8 to 9 s; prep sheets, which small machines can't take, were planned as if they could use what order-close leaves there (needed 550 slots with 1,000 tasks waiting). Timers that fire late read answers that lie ready first.

--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -411,6 +411,7 @@
       owed: owedJobs(jobs, this.ctx.teams),
       objectives: settings.objectives,
       runS: (j) => this.holder.held.runS(j.spec),
+      types: replica.types?.value ?? [],
       bootS: Math.min(...(replica.types?.value ?? []).map((t) => t.bootS)),
       headroom: operators.headroom,
       patience: operators.patience,
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -22,6 +22,15 @@
 /** How late a report may be before its machine is called, and how often that is done. */
 const OVERDUE_MS = 300;
 const PROBE_EVERY_MS = 1500;
+const FIRST_SESSION = 1;
+/**
+ * So many machines lost within so long are a wave, and more of them are dying: those that were not
+ * heard for a part of their period are asked at once, and needn't be silent for as long.
+ */
+const WAVE_LEAST = 3;
+const WAVE_MS = 8000;
+const WAVE_OVERDUE_PART = 0.5;
+const WAVE_SILENCE_PART = 0.5;
 const WATCH_EVERY_MS = 200;
 /** Calls in a row without an answer that make a machine mute, or deaf though it reports. */
 const MUTE_CALLS = 2;
@@ -33,6 +42,7 @@
 /** All that is said between a holder and its machines. */
 export class WorkerDealings {
   #watchedAt: Mono = mono(0);
+  #lostAt: Mono[] = [];
   /** Most machines don't answer: they are not all lost, the way to them is. */
   blind = false;
 
@@ -169,10 +179,12 @@
     if (endpoint === "") return;
     note.calledAt = steadyNow();
     if (s.report === undefined) {
-      // The session is unknown: ask first.
-      const r = await this.workers.call(endpoint, "GET", "/status", undefined, DIRECT_MS);
+      // The session is unknown, but most are in their first: if so, one call shows it our token;
+      // if not, the refusal tells the session.
+      const body = ordersBody(s.token, FIRST_SESSION, []);
+      const r = await this.workers.call(endpoint, "POST", "/orders", body, DIRECT_MS);
       this.#directReport(id, note, r.kind === "answer" ? r.body : undefined);
-      if (held.sessions.get(id)?.report !== undefined) note.directAgain = true;
+      if (held.sessions.get(id)?.state === "claiming") note.directAgain = true;
       return;
     }
     const orders = ordersFor(s, this.#wantedOn(id));
@@ -238,6 +250,10 @@
     const lost: { id: MachineId; why: string; quietMs: number }[] = [];
     let known = 0;
     let unreached = 0;
+    this.#lostAt = this.#lostAt.filter((at) => now - at < WAVE_MS);
+    const wave = this.#lostAt.length >= WAVE_LEAST;
+    const overdueMs = settings.workers.reportS * (wave ? 1000 * WAVE_OVERDUE_PART : 1250);
+    const silenceMs = operators.silenceS * 1000 * (wave ? WAVE_SILENCE_PART : 1);
     for (const [id, s] of held.sessions) {
       const m = replica.machines.get(id);
       if (m === undefined || replica.isGone(id)) continue;
@@ -245,14 +261,14 @@
       const quiet = now - s.heardAt;
       const claim = s.state === "claiming" || (s.state === "unheard" && m.endpoint !== "");
       // Reports come with up to a quarter of delay; one that is later than that is asked for.
-      const overdue = quiet > settings.workers.reportS * 1250 + OVERDUE_MS;
+      const overdue = quiet > overdueMs + OVERDUE_MS;
       const asked = overdue || claim || note.deafCalls > 0;
       if (asked && now - note.calledAt >= PROBE_EVERY_MS) void this.callMachine(id);
       if (m.endpoint === "" && s.report === undefined) continue;
       if (note.retire?.force === true || m.stage !== "up") continue;
       known++;
       if (note.failedCalls > 0 && quiet > settings.workers.reportS * 1000) unreached++;
-      const mute = quiet >= operators.silenceS * 1000 && note.failedCalls >= MUTE_CALLS;
+      const mute = quiet >= silenceMs && note.failedCalls >= MUTE_CALLS;
       const deaf =
         note.deafCalls >= DEAF_CALLS && now - note.deafSince >= operators.silenceS * 1000;
       if (mute || deaf) lost.push({ id, why: mute ? "silent" : "deaf", quietMs: quiet });
@@ -264,6 +280,7 @@
       log.info(`machine ${l.why}`, { machine: l.id, quietMs: Math.round(l.quietMs) });
       held.note(l.id).retire = { reason: l.why, force: true };
       held.disturbed.add(l.id);
+      this.#lostAt.push(now);
     }
   }
 }
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -1,9 +1,11 @@
 import type { Objective, Team } from "../cli/settings.js";
+import type { MachineType } from "../protocol/cloud.js";
 import type { JobId, ShareNo, TeamName, Wall } from "../protocol/ids.js";
 import { type Resources, rankOrder } from "../protocol/jobs.js";
 import { type LiveJob, waitingCount } from "../storage/records.js";
 import { type DemandGroup, follow } from "./fleet.js";
 import { patienceS, targetsOf, windowS } from "./objectives.js";
+import { fits } from "./resources.js";
 
 /** Guards against division by nothing for tasks that take no processors or no time. */
 const LEAST_CPUS = 0.1;
@@ -16,6 +18,7 @@
   readonly owed: ReadonlySet<JobId>;
   readonly objectives: readonly Objective[];
   readonly runS: (job: LiveJob) => number;
+  readonly types: readonly MachineType[];
   /** The fastest boot on offer: what must start sooner needs room that is there already. */
   readonly bootS: number;
   readonly headroom: number;
@@ -32,12 +35,34 @@
   readonly levels: ReadonlyMap<string, number>;
 }
 
+/**
+ * Groups whose tasks fit the same machine types, and so use the same processors in turn. Work that
+ * only some types can take gains nothing from the ends of work on the others. In processors.
+ */
+interface Kin {
+  readonly due: { readonly wanted: Due[]; readonly needed: Due[] };
+  readonly alone: { wanted: number; needed: number };
+  /** Taken by urgent work; and of the patient work, running and waiting. */
+  held: number;
+  open: number;
+  waits: number;
+}
+
+const newKin = (): Kin => ({
+  due: { wanted: [], needed: [] },
+  alone: { wanted: 0, needed: 0 },
+  held: 0,
+  open: 0,
+  waits: 0,
+});
+
 interface Sum {
   readonly needs: Resources;
   readonly types: readonly string[] | null;
   readonly zone: string | null;
   readonly spotAllowed: boolean;
   readonly rank: number;
+  readonly kin: Kin;
   open: number;
   readonly waiting: Map<ShareNo, number>;
   waits: number;
@@ -81,7 +106,7 @@
   d: DemandInput,
 ): { readonly groups: readonly DemandGroup[]; readonly levels: ReadonlyMap<string, number> } => {
   const sums = new Map<string, Sum>();
-  const due = { wanted: [] as Due[], needed: [] as Due[] };
+  const kins = new Map<string, Kin>();
   const teamRoom = new Map<TeamName, number>();
   for (const [id, j] of d.jobs) {
     const share = d.shareOf.get(j.spec.team);
@@ -92,8 +117,15 @@
     let e = sums.get(key);
     if (e === undefined) {
       const base = { needs, types, zone, spotAllowed, rank: rankOrder(rank) };
+      const on = d.types.filter(
+        (t) => fits(needs, t.capacity) && (types === null || types.includes(t.name)),
+      );
+      const kinKey = on.map((t) => t.name).join("|");
+      const kin = kins.get(kinKey) ?? newKin();
+      kins.set(kinKey, kin);
       e = {
         ...base,
+        kin,
         open: 0,
         waits: 0,
         waiting: new Map(),
@@ -128,21 +160,29 @@
       const window = windowS(targets, ageS, runS, part);
       e[tier] += slotsIn(window);
       // Nothing is done sooner than it runs.
-      due[tier].push({ windowS: Math.max(window, runS, LEAST_WINDOW_S), work });
+      e.kin.due[tier].push({ windowS: Math.max(window, runS, LEAST_WINDOW_S), work });
     }
   }
-  const alone = { wanted: 0, needed: 0 };
   for (const e of sums.values()) {
     e.urgent = 2 * e.hasty > e.open + e.waits;
     const cpus = Math.max(e.needs.cpus, LEAST_CPUS);
     for (const tier of ["wanted", "needed"] as const) {
       if (e.urgent) e[tier] = e.open + e.waits;
-      alone[tier] += e[tier] * cpus;
+      e.kin.alone[tier] += e[tier] * cpus;
+    }
+    if (e.urgent) e.kin.held += e.open * cpus;
+    else {
+      e.kin.open += e.open * cpus;
+      e.kin.waits += e.waits * cpus;
     }
   }
-  const shared = (tier: "wanted" | "needed"): number =>
-    alone[tier] > 0 ? Math.min(1, (d.margin * demandBound(due[tier])) / alone[tier]) : 1;
-  const part = { wanted: shared("wanted"), needed: shared("needed") };
+  const part = (kin: Kin, tier: "wanted" | "needed"): number => {
+    // What urgent work takes now it will go on taking, for more of it arrives as this is done:
+    // patient work that has fallen behind can't count on its processors.
+    const behind = Math.min(1, kin.waits / Math.max(kin.open, LEAST_CPUS));
+    const bound = demandBound(kin.due[tier]) + kin.held * behind;
+    return kin.alone[tier] > 0 ? Math.min(1, (d.margin * bound) / kin.alone[tier]) : 1;
+  };
   const levels = new Map<string, number>();
   const ranked: { g: DemandGroup; rank: number }[] = [];
   for (const [key, e] of sums) {
@@ -151,9 +191,9 @@
       levels.set(name, seen);
       return seen;
     };
-    const needed = smooth(`${key}|needed`, e.needed * part.needed);
-    const wanted = smooth(`${key}|wanted`, e.wanted * part.wanted);
-    const { open, waits, hasty, wanted: _w, needed: _n, ...g } = e;
+    const needed = smooth(`${key}|needed`, e.needed * part(e.kin, "needed"));
+    const wanted = smooth(`${key}|wanted`, e.wanted * part(e.kin, "wanted"));
+    const { open, waits, hasty, kin: _k, wanted: _w, needed: _n, ...g } = e;
     const beside = (n: number): number => Math.max(0, Math.ceil(n) - open);
     ranked.push({
       g: {
--- a/src/transport/client.ts
+++ b/src/transport/client.ts
@@ -96,10 +96,13 @@
             ? {}
             : { "content-type": "application/cbor", "content-length": payload.byteLength },
       });
-      const timer = setTimeout(() => {
+      const giveUp = (): void => {
         settle({ kind: "lost" });
         req.destroy();
-      }, timeoutMs);
+      };
+      // A process that fell behind sees its timers before the answers that came in time: what
+      // lies ready is read first, or it would take its own lateness for the other side's silence.
+      const timer = setTimeout(() => setImmediate(() => setImmediate(giveUp)), timeoutMs);
       req.on("response", (res) => {
         const chunks: Buffer[] = [];
         res.on("data", (c: Buffer) => chunks.push(c));
--- a/test/coordination.test.ts
+++ b/test/coordination.test.ts
@@ -1,7 +1,19 @@
 import assert from "node:assert/strict";
 import test from "node:test";
+import { Batch } from "../src/coordination/batch.js";
+import { type Evidence, HEALTHY, type Health, stepHealth } from "../src/coordination/health.js";
 import { assignTeams, planShares } from "../src/coordination/shares.js";
-import { controllerLabel, incarnation, revision, shareNo, teamName } from "../src/protocol/ids.js";
+import {
+  attemptNo,
+  controllerLabel,
+  incarnation,
+  jobId,
+  machineId,
+  mono,
+  revision,
+  shareNo,
+  teamName,
+} from "../src/protocol/ids.js";
 import type { Holder } from "../src/storage/records.js";
 import { Replica } from "../src/storage/replica.js";
 
@@ -122,6 +134,103 @@
   assert.equal(next.get(teamName("aaa")), 1);
 });
 
+const at = (n: number) => mono(n);
+const never = at(Number.NEGATIVE_INFINITY);
+const evidence = (
+  e: Partial<{ answeredAt: number; refusedAt: number; unansweredAt: number; served: number }>,
+): Evidence => ({
+  now: at(10_000),
+  answeredAt: at(e.answeredAt ?? 5000),
+  refusedAt: e.refusedAt === undefined ? never : at(e.refusedAt),
+  unansweredAt: e.unansweredAt === undefined ? never : at(e.unansweredAt),
+  peersServed: e.served ?? 0,
+});
+const standings: readonly [string, Health, Evidence, string][] = [
+  ["answered", HEALTHY, evidence({}), "served"],
+  ["a first refusal is no trouble yet", HEALTHY, evidence({ refusedAt: 9000 }), "served"],
+  [
+    "refused, and nobody says that he is served: an outage, and what is held stays held",
+    { standing: "served", since: at(6000) },
+    evidence({ refusedAt: 9000 }),
+    "outage",
+  ],
+  [
+    "refused while another is served: others will take what is held here",
+    { standing: "outage", since: at(6000) },
+    evidence({ refusedAt: 9000, served: 1 }),
+    "alone",
+  ],
+  [
+    "no answer at all is no outage, whoever else is behind the cut",
+    { standing: "served", since: at(6000) },
+    evidence({ unansweredAt: 9000 }),
+    "alone",
+  ],
+  ["over at the first answer", { standing: "alone", since: at(1) }, evidence({}), "served"],
+];
+
+test("an outage, and a trouble of one's own", () => {
+  for (const [name, before, e, want] of standings)
+    assert.equal(stepHealth(before, e).standing, want, name);
+});
+
+test("pages are split before they pass a value, and what does not fit waits", () => {
+  const limits = { txnOps: 16, valueKb: 8, size: 3 };
+  const share = shareNo(0);
+  const r = new Replica();
+  r.apply({ kind: "put", key: "now/share/0", value: { l: "a", i: "1" }, rev: revision(1) });
+  const open = (n: number) =>
+    Array.from({ length: n }, (_, index) => ({
+      index,
+      attempt: attemptNo(index + 1),
+      machine: machineId(`m-${String(index).padStart(6, "0")}`),
+    }));
+  const batch = new Batch(r, limits);
+  let written = 0;
+  // 40 jobs of 100 open attempts: more than one transaction may carry.
+  for (let i = 0; i < 40; i++)
+    if (batch.putJob(share, jobId(`wk-${i}`), { done: [], open: open(100), nextAttempt: 101 }))
+      written++;
+  const t = batch.txn();
+  assert.ok(written > 5 && written < 40, `${written} written`);
+  assert.ok(t.ops.length <= limits.txnOps);
+  assert.ok(JSON.stringify(t).length <= 64 * 1024);
+  for (const op of t.ops)
+    assert.ok(op.kind === "put" && JSON.stringify(op.value).length <= limits.valueKb * 1024);
+  // Taken in, the pages give the jobs back; one that outgrows its page moves to another.
+  const put = (ops: typeof t.ops, rev: number): void => {
+    for (const op of ops)
+      if (op.kind === "put")
+        r.apply({ kind: "put", key: op.key, value: op.value, rev: revision(rev) });
+  };
+  put(t.ops, 2);
+  assert.equal(r.work(share).openOn(machineId("m-000003")).size, written);
+  const first = jobId("wk-0");
+  const from = r.work(share).pageOf(first);
+  const grown = new Batch(r, limits);
+  assert.ok(grown.putJob(share, first, { done: [], open: open(270), nextAttempt: 271 }));
+  put(grown.txn().ops, 3);
+  assert.notEqual(r.work(share).pageOf(first), from);
+  assert.equal(r.work(share).openOn(machineId("m-000003")).size, written);
+  assert.equal(r.work(share).openOn(machineId("m-000269")).size, 1);
+});
+
+test("a machine that moves to another page stands in one only, in whatever order they come", () => {
+  const m = { t: ["g8"], z: ["a"] };
+  const row = ["m-1", 0, 0, 0, 0, "", 5];
+  const changes = [
+    { kind: "put", key: "now/fleet/0/x", value: { ...m, m: [] }, rev: revision(9) },
+    { kind: "put", key: "now/fleet/1/y", value: { ...m, m: [row] }, rev: revision(9) },
+  ] as const;
+  for (const order of [changes, [...changes].reverse()]) {
+    const r = new Replica();
+    r.apply({ kind: "put", key: "now/fleet/0/x", value: { ...m, m: [row] }, rev: revision(7) });
+    for (const c of order) r.apply(c);
+    assert.equal(r.machines.get(machineId("m-1"))?.share, 1);
+    assert.equal(r.fleetPageOf(machineId("m-1")), "now/fleet/1/y");
+  }
+});
+
 test("the replica passes over older news", () => {
   const r = new Replica();
   const key = "now/member/a";
