Bound by kind of types; hasty tasks avoid slow fetches; calls capped, accepts ask again

Cause: prep sheets were planned on small machines' processors; order-close of 1.5 to 5 GB images went to machines fetching 0.2 GB/s; after takeovers users' requests waited behind the answers of hundreds of workers, and a 429 refused a submission. A rise in proportion to what lacks: no gain, not taken.

--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -103,7 +103,7 @@
     }
     const { batch, call, closedKeys, looked } = this.#decide(shares, now);
     const callAll = (): void => {
-      for (const id of call) void this.dealings.callMachine(id);
+      for (const id of call) this.dealings.callMachine(id, true);
     };
     if (batch.empty) {
       callAll();
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -10,7 +10,7 @@
   taskId,
 } from "../protocol/ids.js";
 import { type JobSpec, type Resources, rankOrder } from "../protocol/jobs.js";
-import { slackS, targetsOf } from "../scheduling/objectives.js";
+import { hurryS, slackS, targetsOf } from "../scheduling/objectives.js";
 import { owedJobs, type Queued, queueOrder } from "../scheduling/order.js";
 import {
   choosePlace,
@@ -274,12 +274,14 @@
     let bytes = progressBytes(w.job);
     const most = pageLimit({ ...ctx.settings.state, size: ctx.settings.size }) * 0.9;
     let grounds: Ground[] | undefined;
+    const hurry = hurryS(targetsOf(spec, ctx.settings.objectives, w.owed), w.ageS);
     const undo: (() => void)[] = [];
     for (const index of indexes) {
       const after = plus(used, spec.needs);
       if (after.cpus > team.cpusMax + 1e-9 || after.gpus > team.gpusMax + 1e-9) break;
       const task = taskId(w.id, index);
-      const place = this.#placeKept(task, spec, zones) ?? choosePlace(spec, candidates, zones);
+      const place =
+        this.#placeKept(task, spec, zones) ?? choosePlace(spec, candidates, zones, hurry);
       if (place === null) {
         if (w.slack > ctx.operators.preemptSlackS) break;
         if (held.incoming.has(task)) continue;
--- a/src/coordination/workers.ts
+++ b/src/coordination/workers.ts
@@ -22,6 +22,8 @@
 /** How late a report may be before its machine is called, and how often that is done. */
 const OVERDUE_MS = 300;
 const PROBE_EVERY_MS = 1500;
+/** Calls in flight at a time: dead machines hold theirs for as long as a call may take. */
+const MOST_CALLS = 96;
 const FIRST_SESSION = 1;
 /**
  * So many machines lost within so long are a wave, and more of them are dying: those that were not
@@ -42,6 +44,8 @@
 /** All that is said between a holder and its machines. */
 export class WorkerDealings {
   #watchedAt: Mono = mono(0);
+  readonly #queue: MachineId[] = [];
+  #calling = 0;
   #lostAt: Mono[] = [];
   /** Most machines don't answer: they are not all lost, the way to them is. */
   blind = false;
@@ -150,22 +154,40 @@
     useImage(held.note(machine), job.spec.image, job.spec.imageGb, cache);
   }
 
-  /** Sends a machine what it should do, straight to its address: one call at a time. */
-  async callMachine(id: MachineId): Promise<void> {
+  /**
+   * Sends a machine what it should do, straight to its address: one call at a time, and not too
+   * many at once, or a user's request waits behind all the answers of a takeover.
+   */
+  callMachine(id: MachineId, first = false): void {
     const note = this.held.note(id);
     if (note.directBusy) {
       note.directAgain = true;
       return;
     }
     note.directBusy = true;
-    try {
-      await this.#callOnce(id, note);
-    } finally {
-      note.directBusy = false;
-    }
-    if (note.directAgain) {
-      note.directAgain = false;
-      void this.callMachine(id);
+    note.calledAt = steadyNow();
+    if (first) this.#queue.unshift(id);
+    else this.#queue.push(id);
+    this.#callNext();
+  }
+
+  #callNext(): void {
+    while (this.#calling < MOST_CALLS) {
+      const id = this.#queue.shift();
+      if (id === undefined) return;
+      const note = this.held.note(id);
+      this.#calling++;
+      this.#callOnce(id, note)
+        .catch((e) => this.held.ctx.log.error("call failed", { machine: id, error: String(e) }))
+        .finally(() => {
+          this.#calling--;
+          note.directBusy = false;
+          if (note.directAgain) {
+            note.directAgain = false;
+            this.callMachine(id);
+          }
+          this.#callNext();
+        });
     }
   }
 
@@ -263,7 +285,7 @@
       // Reports come with up to a quarter of delay; one that is later than that is asked for.
       const overdue = quiet > overdueMs + OVERDUE_MS;
       const asked = overdue || claim || note.deafCalls > 0;
-      if (asked && now - note.calledAt >= PROBE_EVERY_MS) void this.callMachine(id);
+      if (asked && now - note.calledAt >= PROBE_EVERY_MS) this.callMachine(id);
       if (m.endpoint === "" && s.report === undefined) continue;
       if (note.retire?.force === true || m.stage !== "up") continue;
       known++;
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -42,18 +42,11 @@
 interface Kin {
   readonly due: { readonly wanted: Due[]; readonly needed: Due[] };
   readonly alone: { wanted: number; needed: number };
-  /** Taken by urgent work; and of the patient work, running and waiting. */
-  held: number;
-  open: number;
-  waits: number;
 }
 
 const newKin = (): Kin => ({
   due: { wanted: [], needed: [] },
   alone: { wanted: 0, needed: 0 },
-  held: 0,
-  open: 0,
-  waits: 0,
 });
 
 interface Sum {
@@ -170,17 +163,9 @@
       if (e.urgent) e[tier] = e.open + e.waits;
       e.kin.alone[tier] += e[tier] * cpus;
     }
-    if (e.urgent) e.kin.held += e.open * cpus;
-    else {
-      e.kin.open += e.open * cpus;
-      e.kin.waits += e.waits * cpus;
-    }
   }
   const part = (kin: Kin, tier: "wanted" | "needed"): number => {
-    // What urgent work takes now it will go on taking, for more of it arrives as this is done:
-    // patient work that has fallen behind can't count on its processors.
-    const behind = Math.min(1, kin.waits / Math.max(kin.open, LEAST_CPUS));
-    const bound = demandBound(kin.due[tier]) + kin.held * behind;
+    const bound = demandBound(kin.due[tier]);
     return kin.alone[tier] > 0 ? Math.min(1, (d.margin * bound) / kin.alone[tier]) : 1;
   };
   const levels = new Map<string, number>();
--- a/src/scheduling/objectives.ts
+++ b/src/scheduling/objectives.ts
@@ -38,6 +38,14 @@
   return slack;
 };
 
+/** Seconds until the job's tasks should run for the next such objective that can still be met. */
+export const hurryS = (targets: readonly Target[], ageS: number): number => {
+  let left = Number.POSITIVE_INFINITY;
+  for (const t of targets)
+    if (t.kind === "start" && t.withinS >= ageS) left = Math.min(left, t.withinS - ageS);
+  return left;
+};
+
 /** How long a class's tasks may be in the system, on the whole, for its objectives to be met. */
 export const patienceS = (targets: readonly Target[], runS: number, part: number): number => {
   let most = Number.POSITIVE_INFINITY;
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -55,9 +55,15 @@
   return [...out.values()];
 };
 
-/** What comes before p: machines that others need are spared, and so are those that cost much. */
-const worse = (a: Place, b: Place): number =>
-  a.contenders - b.contenders || Number(a.dear) - Number(b.dear);
+/** Whether fetching the image there takes longer than the task has until it should run. */
+const fetchesTooLong = (
+  spec: Pick<JobSpec, "image" | "imageGb">,
+  p: Place,
+  hurryS: number,
+): boolean =>
+  hurryS < Number.POSITIVE_INFINITY &&
+  !p.images.has(spec.image) &&
+  spec.imageGb > hurryS * p.fetchGbPerS;
 
 /**
  * The feasible machine that the fewest other needs could use, of those the one with the lowest p
@@ -67,9 +73,15 @@
   spec: JobSpec,
   places: readonly Place[],
   zones: ZoneCounts,
+  hurryS = Number.POSITIVE_INFINITY,
 ): Place | null => {
   let best: Place | null = null;
   let bestP = 0;
+  /** What comes before p: what others need is spared, then what is too slow, then what costs much. */
+  const worse = (a: Place, b: Place): number =>
+    a.contenders - b.contenders ||
+    Number(fetchesTooLong(spec, a, hurryS)) - Number(fetchesTooLong(spec, b, hurryS)) ||
+    Number(a.dear) - Number(b.dear);
   for (const place of places) {
     if (best !== null && worse(place, best) > 0) continue;
     if (!fitsBeside(spec.needs, place.use, place.capacity)) continue;
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -159,7 +159,7 @@
     const key = keys.live(spec.id);
     const value = liveValue(newJob(spec, timeOfDay()));
     const ops = [{ kind: "put", key, value }] as const;
-    const r = await ctx.store.txn({
+    const r = await ctx.store.txnSoon({
       conditions: [
         { key, rev: ABSENT },
         { key: keys.final(spec.id), rev: ABSENT },
@@ -216,7 +216,7 @@
       const key = keys.live(job);
       const value = liveValue({ ...found.job, cancelledAt: timeOfDay() });
       const ops = [{ kind: "put", key, value }] as const;
-      const r = await ctx.store.txn({ conditions: [{ key, rev: found.rev }], ops });
+      const r = await ctx.store.txnSoon({ conditions: [{ key, rev: found.rev }], ops });
       if (r.kind === "applied") {
         absorb(ctx.replica, ops, r.rev);
         this.wake();
--- a/src/storage/store.ts
+++ b/src/storage/store.ts
@@ -22,8 +22,8 @@
   | { readonly kind: "conflict"; readonly failed: readonly string[] }
   /** Our lease has lapsed, or the request is malformed: it never will be applied. */
   | { readonly kind: "refused" }
-  /** Not executed. */
-  | { readonly kind: "unavailable" }
+  /** Not executed; `throttled`: only because the limits were reached at this moment. */
+  | { readonly kind: "unavailable"; readonly throttled?: boolean }
   /** May have been applied, or may yet be. */
   | { readonly kind: "unknown" };
 
@@ -39,6 +39,9 @@
 
 const CALL_MS = 1500;
 const SCAN_LIMIT = 1000;
+/** Within a tenth of a second the limits let a few more changes through. */
+const SOON_TRIES = 4;
+const SOON_MS = 35;
 /** What part of the write limit all may use together, and how many equal parts one may use. */
 const USABLE = 0.9;
 const MOST_PARTS = 2.5;
@@ -134,7 +137,8 @@
     }
     if (r.status === 409) return { kind: "conflict", failed: parseFailed(r.body) };
     if (r.status === 400) return { kind: "refused" };
-    if (r.status === 429 || r.status === 503) return { kind: "unavailable" };
+    if (r.status === 429) return { kind: "unavailable", throttled: true };
+    if (r.status === 503) return { kind: "unavailable" };
     return { kind: "unknown" };
   }
 
@@ -153,6 +157,15 @@
     }
   }
 
+  /** For what a user waits for: asks a few times more if only the limits stood in the way. */
+  async txnSoon(t: Txn): Promise<TxnResult> {
+    for (let tries = 1; ; tries++) {
+      const r = await this.txn(t);
+      if (r.kind !== "unavailable" || r.throttled !== true || tries >= SOON_TRIES) return r;
+      await sleep(SOON_MS);
+    }
+  }
+
   async get(key: string): Promise<ReadResult> {
     const r = await this.#call("GET", storePaths.key(key), undefined);
     if (r.kind !== "answer") return { kind: "unavailable" };
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -4,7 +4,7 @@
 import type { MachineType } from "../src/protocol/cloud.js";
 import { jobId, machineId, shareNo, teamName, wall } from "../src/protocol/ids.js";
 import type { Rank } from "../src/protocol/jobs.js";
-import { demandBound } from "../src/scheduling/demand.js";
+import { demandBound, demandOf } from "../src/scheduling/demand.js";
 import {
   type DemandGroup,
   type FleetMachine,
@@ -12,8 +12,9 @@
   offerKey,
   planFleet,
 } from "../src/scheduling/fleet.js";
-import { slackS, targetsOf, windowS } from "../src/scheduling/objectives.js";
+import { hurryS, slackS, targetsOf, windowS } from "../src/scheduling/objectives.js";
 import { owedJobs, queueOrder } from "../src/scheduling/order.js";
+import { choosePlace, type Place } from "../src/scheduling/placement.js";
 import { cheapestRoom, mayPreempt } from "../src/scheduling/preempt.js";
 import { type LiveJob, newJob } from "../src/storage/records.js";
 
@@ -264,7 +265,13 @@
 const job = (
   id: string,
   at: number,
-  over: { jobClass?: string; rank?: Rank; tasks?: number; deadlineS?: number | null } = {},
+  over: {
+    jobClass?: string;
+    rank?: Rank;
+    tasks?: number;
+    deadlineS?: number | null;
+    needsCpus?: number;
+  } = {},
 ): readonly [ReturnType<typeof jobId>, LiveJob] => [
   jobId(id),
   newJob(
@@ -274,7 +281,7 @@
       team: teamName("t"),
       rank: over.rank ?? "normal",
       tasks: over.tasks ?? 1,
-      needs: { cpus: 8, gpus: 0, ramGb: 1 },
+      needs: { cpus: over.needsCpus ?? 8, gpus: 0, ramGb: 1 },
       image: "i",
       imageGb: 1,
       types: null,
@@ -342,6 +349,69 @@
     assert.equal(demandBound(due.map(([windowS, work]) => ({ windowS, work }))), want, name);
 });
 
+test("work that only some types can take is not planned on what others leave", () => {
+  // 40 fast tasks that fit small machines too, and 40 slow ones that fit large ones only.
+  const fast = job("wk-1", 0, { jobClass: "fast", rank: "high", tasks: 40, needsCpus: 2 });
+  const slow = (cpus: number) => job("wk-2", 0, { tasks: 40, needsCpus: cpus });
+  const needed = (cpus: number): number => {
+    const d = demandOf({
+      jobs: [fast, slow(cpus)],
+      shareOf: new Map([[teamName("t"), shareNo(0)]]),
+      teams: new Map([
+        [teamName("t"), { name: teamName("t"), cpus: 0, gpus: 0, cpusMax: 1e6, gpusMax: 0 }],
+      ]),
+      owed: new Set(),
+      objectives: OBJECTIVES,
+      runS: (j) => (j.spec.jobClass === "fast" ? 10 : 100),
+      types: [SMALL, LARGE],
+      bootS: 40,
+      headroom: 0,
+      patience: 0.2,
+      lastPatience: 0.35,
+      riseS: 0,
+      fallS: 0,
+      margin: 1,
+      dtS: 1,
+      now: wall(0),
+      levels: new Map(),
+    });
+    return d.groups.find((g) => g.needs.cpus === cpus)?.needed ?? 0;
+  };
+  // On the same types the slow ones follow the fast on their processors; alone they can't.
+  assert.ok(needed(16) >= 40, `${needed(16)}`);
+  assert.ok(needed(8) < 40, `${needed(8)}`);
+});
+
+test("hasty tasks avoid machines that would fetch their image for too long", () => {
+  const place = (id: string, fetchGbPerS: number, use: number, images: string[]): Place => ({
+    id: machineId(id),
+    type: "t",
+    zone: "a",
+    spot: true,
+    capacity: { cpus: 8, gpus: 0, ramGb: 32 },
+    use: { cpus: use, gpus: 0, ramGb: use },
+    least: { cpus: 2, gpus: 0, ramGb: 2 },
+    price: 1,
+    dear: false,
+    fetchGbPerS,
+    images: new Set(images),
+    contenders: 1,
+  });
+  const spec = {
+    ...job("wk-1", 0, { needsCpus: 2 })[1].spec,
+    image: "i",
+    imageGb: 2,
+    spotAllowed: true,
+  };
+  // The fullest first, as the paper has it, unless the task would be late there.
+  const places = [place("full", 0.2, 6, []), place("quick", 1, 4, []), place("has", 0.2, 2, ["i"])];
+  const chosen = (hurry?: number) => choosePlace(spec, places, new Map(), hurry)?.id;
+  assert.equal(chosen(), "full");
+  assert.equal(chosen(3), "quick");
+  assert.equal(chosen(1), "has");
+  assert.equal(hurryS(targetsOf({ jobClass: "fast", deadlineS: 20 }, OBJECTIVES, false), 5), 3);
+});
+
 test("jobs within the guarantee, counted from the earliest", () => {
   const team = { name: teamName("t"), cpus: 32, gpus: 0, cpusMax: 96, gpusMax: 0 };
   const teams = new Map([[team.name, team]]);
