--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -16,6 +16,8 @@
 /** A controller that can't reach its machines stays away for this long before it tries again. */
 const RESIGNED_MS = 10_000;
 const RESIGNED_MOST_MS = 80_000;
+/** A newcomer leaves what is without a holder to other newcomers for this long. */
+const JOIN_MS = 600;
 /** How far back others' writes are counted. */
 const WRITES_OVER_S = 2;
 
@@ -29,6 +31,7 @@
   #countedAt: Mono = steadyNow();
   #counted = 0;
   #renewedAt: Mono = mono(0);
+  #joinedAt: Mono | undefined;
   readonly #memberSince = new Map<string, Mono>();
   #busy = false;
 
@@ -163,6 +166,7 @@
     const { ctx } = this;
     const { replica, me } = ctx;
     if (!this.joined()) {
+      this.#joinedAt = undefined;
       const key = keys.member(me.label);
       await this.#txn({
         conditions: [{ key, rev: replica.rev(key) }],
@@ -204,7 +208,12 @@
       members,
       steady,
     });
+    if (this.#joinedAt === undefined) this.#joinedAt = now;
     for (const a of plan) {
+      // When several start together, the first must not take what the others are about to: each
+      // share that has to be handed over again stands still for a while.
+      const own = replica.shares.get(a.share)?.value.label === me.label;
+      if (a.kind === "claim" && !own && now - this.#joinedAt < JOIN_MS) continue;
       const key = keys.share(a.share);
       const to = a.kind === "claim" ? me : a.to;
       const done = await this.#txn({
