--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -93,6 +93,18 @@
     { ...calm, refused: true, muted: true, cancelNow: true, oneWay: true },
     "cancelledAtOnce",
   ],
+  [
+    "jobs bound to zones lose machines",
+    76,
+    { ...calm, zoneBound: true, wave: true, deaths: true, crashes: true },
+    "zoneBound",
+  ],
+  [
+    "slow links, cancels at once, crashes",
+    77,
+    { ...calm, slowLinks: true, cancelNow: true, crashes: true, zoneBound: true },
+    "zoneBound",
+  ],
 ];
 for (const [name, seed, trouble, met] of meetings)
   test(`the rules hold where troubles meet: ${name}`, async () => {
--- a/test/sim/stands.ts
+++ b/test/sim/stands.ts
@@ -235,6 +235,8 @@
   deaf = false;
   /** Its reports reach no controller, while direct commands reach it. */
   mute = false;
+  /** How long an image takes to come, from and to. */
+  fetchMs: readonly [number, number] = [200, 1500];
   /** A sabotaged worker executes commands whatever their token and session. */
   heedsTokens = true;
   session = 1;
@@ -355,7 +357,7 @@
     const t: Task = { task, attempt, stage: "pulling" };
     this.tasks.set(task, t);
     this.#changed = true;
-    this.clock.after(this.clock.between(200, 1500), () => {
+    this.clock.after(this.clock.between(...this.fetchMs), () => {
       if (this.tasks.get(task) !== t || t.stage !== "pulling") return;
       t.stage = "running";
       this.#changed = true;
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -122,6 +122,10 @@
   readonly lateWrites?: boolean;
   /** Machines reach no controller, while calls reach them, for less and for more than a lease. */
   readonly muted?: boolean;
+  /** Jobs are bound to one zone or spread over zones, as `mill` and `apart` say. */
+  readonly zoneBound?: boolean;
+  /** Images take up to half a minute to come. */
+  readonly slowLinks?: boolean;
   /** The same for good, with tasks that run for longer than a lease. */
   readonly mutedLong?: boolean;
   /** Many users call off running jobs at once, and some of their machines hang. */
@@ -228,6 +232,7 @@
     leaderEnds: 0,
     allAway: 0,
     zoneCut: 0,
+    zoneBound: 0,
   };
   /** Tasks that left a machine unfinished in an outage though nobody cancelled their job. */
   lostRuns = 0;
@@ -261,6 +266,7 @@
         this.clock.after(this.clock.between(1000, 20_000), () => {
           if (!this.#cloud.up.has(m.id)) return;
           const w = new WorkerStand(this.clock, m, this.#labels, LEASE_MS, this.#hooks());
+          if (trouble.slowLinks === true) w.fetchMs = [4000, 28_000];
           w.heedsTokens = sabotage !== "tokens";
           this.#workers.set(m.id, w);
         }),
@@ -342,6 +348,15 @@
     const spec = j.spec;
     if (w.rented.spot && spec.remnant !== true) this.#break("wrong_place", `${task} on spot`);
     if (spec.oneZone === true && this.#zonesOf(id).size > 1) this.#break("wrong_place", task);
+    if (typeof spec.mill === "string" && spec.mill !== w.rented.zone)
+      this.#break("wrong_place", `${task} outside its zone`);
+    if (spec.apart === true) {
+      let here = 0;
+      for (const [t, ws] of this.#on)
+        if (t.startsWith(`${id}/`)) for (const x of ws) if (x.rented.zone === w.rented.zone) here++;
+      if (here > Math.ceil(Number(spec.threads) / 2)) this.#break("wrong_place", `${task} crowds`);
+      if (here > 0) this.met.zoneBound++;
+    }
     j.startedAt ??= this.clock.now;
     const crew = String(spec.crew);
     const cpus = (this.#cpusOf.get(crew) ?? 0) + Number(spec.cpus);
@@ -631,7 +646,7 @@
     if (this.sabotage !== "no_service") for (let n = 0; n < this.#labels.length; n++) this.boot(n);
     for (let i = 0; i < jobs; i++) {
       const id = `wk-${String(i + 1).padStart(6, "0")}`;
-      const spec = {
+      const spec: Body = {
         uid: id,
         weave: "c",
         crew: `t${Math.floor(this.clock.random() * 4)}`,
@@ -652,6 +667,12 @@
       };
       const cancel = this.clock.random() < 0.3 ? this.clock.between(500, 30_000) : null;
       const t = this.trouble;
+      if (t.zoneBound === true) {
+        const kind = this.clock.random();
+        spec.oneZone = kind < 0.35;
+        if (kind > 0.25 && kind < 0.5) spec.mill = this.clock.random() < 0.5 ? "a" : "b";
+        if (kind >= 0.5) spec.apart = true;
+      }
       const until = t.gap === undefined && t.mutedLong !== true ? 100_000 : 20_000;
       const at = this.clock.between(2000, until);
       this.clock.after(at, () => void this.user(id, spec, t.gap === undefined ? cancel : null));
@@ -935,8 +956,11 @@
 
   #roomFor(id: string, j: UserJob): boolean {
     const { crew, cpus, remnant } = j.spec;
+    // Which zones are open to it depends on where its other tasks are: not judged here.
+    if (j.spec.oneZone === true || j.spec.apart === true) return false;
     if ((this.#cpusOf.get(String(crew)) ?? 0) + Number(cpus) > this.scale.quota) return false;
     for (const w of this.#workers.values()) {
+      if (typeof j.spec.mill === "string" && j.spec.mill !== w.rented.zone) continue;
       if (!w.alive || w.hangs || (w.rented.spot && remnant !== true)) continue;
       const most = Number(TYPES.find((t) => t.label === w.rented.type)?.cpus);
       const taken = [...w.tasks.values()].filter((t) => t.stage !== "ended");
