A job with a mistake retries one task at a time where it failed; its failures blame no machine

Now one task at a time. A job that failed on three machines no longer counts against the next: two such jobs had every machine they met quarantined. After a conflict the watch need only have come to the pages' revisions.

--- a/src/coordination/closing.ts
+++ b/src/coordination/closing.ts
@@ -15,6 +15,9 @@
 import type { Held } from "./held.js";
 import { attemptKey, findAttempt } from "./session.js";
 
+/** A job that failed on so many machines is at fault itself, for all that is known. */
+const MANY_MACHINES = 3;
+
 interface Closing {
   readonly key: string;
   readonly index: number;
@@ -154,9 +157,10 @@
     jn.failures++;
     jn.failedOn.add(o.machine);
     mn.failures++;
-    mn.failedJobs.add(id);
+    // A job that fails on one machine after the other says nothing against the next of them.
+    if (jn.failedOn.size < MANY_MACHINES) mn.failedJobs.add(id);
     // Jobs failing on several machines are backed off; a machine failing several jobs goes.
-    if (jn.failedOn.size >= 3)
+    if (jn.failedOn.size >= MANY_MACHINES)
       jn.notBefore = mono(now + Math.min(30_000, 1000 * 2 ** Math.min(5, jn.failures - 3)));
     if (mn.failedJobs.size >= 2 && mn.retire === null) {
       log.info("machine quarantined", { machine: o.machine, failures: mn.failures });
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -27,7 +27,6 @@
 /** How soon to look again whether the watch has come as far as what was read by itself. */
 const CATCH_UP_MS = 25;
 const PAGES: ReadonlySet<string> = new Set(["work", "fleet"]);
-const NEWEST = revision(Number.MAX_SAFE_INTEGER);
 
 /** What to do after a round: another at once, one after a pause, or one when something happens. */
 export type Next = "again" | "idle" | { readonly pauseMs: number };
@@ -170,9 +169,10 @@
     // Its own first copy was applied, most likely, without an answer. Keys read one by one are of
     // different moments: a job or a machine that went from one page to another in that write could
     // be seen in neither, and what it has open be taken for nothing.
-    if (failed.some((key) => PAGES.has(classify(key).kind))) this.#catchUp = NEWEST;
+    const pages = failed.filter((key) => PAGES.has(classify(key).kind));
     await refresh(ctx, failed.length > 0 ? failed : t.conditions.map((c) => c.key));
-    if (this.#catchUp === NEWEST) this.#catchUp = ctx.replica.latest;
+    for (const key of pages)
+      this.#catchUp = revision(Math.max(this.#catchUp, ctx.replica.rev(key)));
     return "again";
   }
 
--- a/src/coordination/placing.ts
+++ b/src/coordination/placing.ts
@@ -293,8 +293,10 @@
             zones,
             hurry,
           ) ?? this.#unblock(place);
-      // Where it failed before is better than nowhere; how often it may fail its back-off bounds.
-      if (place === null && candidates.length < all.length) {
+      // Where it failed before is better than nowhere, for one task at a time: a job with a mistake
+      // in it fails everywhere, and all of its tasks again and again would take the fleet.
+      const none = w.job.open.length + starts.length === 0;
+      if (place === null && none && candidates.length < all.length) {
         place = choosePlace(spec, all, zones, hurry);
         if (place !== null && this.#lingers(task, place)) place = this.#unblock(place);
       }
