--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -3,7 +3,7 @@
 import type { Report } from "../protocol/workers.js";
 import { absorb, type Context, refresh } from "../service/context.js";
 import type { Calls } from "../transport/client.js";
-import { steadyNow, timeOfDay } from "../transport/clock.js";
+import { steadyNow } from "../transport/clock.js";
 import type { Answer } from "../transport/server.js";
 import { Batch } from "./batch.js";
 import { closeAttempts, type ShareRound } from "./closing.js";
@@ -110,7 +110,6 @@
     if (pauseMs > 0) return { pauseMs };
     for (const [task, x] of held.incoming) if (x.until <= now) held.incoming.delete(task);
     this.#heedNotices(now);
-    this.#heedCancels();
     this.#vacate(now);
     if (now - this.#swarmAt >= ctx.operators.swarmPeriodS * 1000) {
       this.#swarmAt = now;
@@ -239,22 +238,6 @@
     }
   }
 
-  /** Every task of a cancelled job must be gone in time, if need be with its machine. */
-  #heedCancels(): void {
-    const { held } = this;
-    const { replica, settings } = this.ctx;
-    const mostMs = settings.workers.cancelS * 400;
-    for (const [id, { value: a }] of replica.accepted) {
-      if (a.cancelledAt === null || timeOfDay() - a.cancelledAt < mostMs) continue;
-      for (const o of replica.job(id)?.open ?? []) {
-        if (!held.sessions.has(o.machine)) continue;
-        const note = held.note(o.machine);
-        if (note.retire?.force !== true)
-          note.retire = { reason: "cancelled task stays", force: true };
-      }
-    }
-  }
-
   stats(): Readonly<Record<string, unknown>> {
     return this.held.stats();
   }
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -19,7 +19,7 @@
   shareNo,
 } from "../protocol/ids.js";
 import { rankOrder } from "../protocol/jobs.js";
-import { encodePeer, type MoveRequest } from "../protocol/peer.js";
+import { encodePeer, type MoveRequest, NO_WORD } from "../protocol/peer.js";
 import type { Condition, Op, Txn } from "../protocol/store.js";
 import { parseReport, type Report } from "../protocol/workers.js";
 import { demandOf } from "../scheduling/demand.js";
@@ -623,6 +623,7 @@
       const address = seed === undefined ? undefined : addressOf(settings, seed.label);
       if (address === undefined) continue;
       const payload = encodePeer({
+        ...NO_WORD,
         from: me.label,
         moves: e.moves,
         retire: e.retire,
--- a/src/protocol/jobs.ts
+++ b/src/protocol/jobs.ts
@@ -55,7 +55,13 @@
 const absent = (v: unknown): boolean => v === null || v === undefined;
 const flag = (v: unknown): boolean | undefined => (typeof v === "boolean" ? v : undefined);
 
-/** Reads POST /work. The first fault found is the reason given. */
+/** The job that a submission names, whatever else may be wrong with it. */
+export const submissionId = (body: unknown): JobId | undefined => {
+  const id = isMap(body) ? text(body.uid) : undefined;
+  return id !== undefined && isJobId(id) ? jobId(id) : undefined;
+};
+
+/** Reads POST /work. The first fault found is the reason given. Only what may be null may be absent. */
 export const parseSubmission = (body: unknown): Parsed<JobSpec> => {
   if (!isMap(body)) return bad("not a map");
   const id = text(body.uid);
@@ -71,7 +77,7 @@
   if (tasks === undefined || tasks < 1 || tasks > MAX_TASKS)
     return bad(`threads must be 1 to ${MAX_TASKS}`);
   const cpus = amount(body.cpus);
-  const gpus = absent(body.gpus) ? 0 : amount(body.gpus);
+  const gpus = amount(body.gpus);
   const ramGb = amount(body.ramGb);
   if (cpus === undefined) return bad("cpus is invalid");
   if (gpus === undefined) return bad("gpus is invalid");
@@ -88,16 +94,16 @@
     types = names as string[];
   }
   if (!absent(body.mill) && typeof body.mill !== "string") return bad("mill is invalid");
-  const oneZone = absent(body.oneZone) ? false : flag(body.oneZone);
-  const apart = absent(body.apart) ? false : flag(body.apart);
-  const spotAllowed = absent(body.remnant) ? false : flag(body.remnant);
+  const oneZone = flag(body.oneZone);
+  const apart = flag(body.apart);
+  const spotAllowed = flag(body.remnant);
   if (oneZone === undefined) return bad("oneZone is invalid");
   if (apart === undefined) return bad("apart is invalid");
   if (spotAllowed === undefined) return bad("remnant is invalid");
   const expectS = amount(body.expectS);
   if (expectS === undefined) return bad("expectS is invalid");
-  const checkpointS = absent(body.knotS) ? 0 : amount(body.knotS);
-  const saveS = absent(body.spoolS) ? 0 : amount(body.spoolS);
+  const checkpointS = amount(body.knotS);
+  const saveS = amount(body.spoolS);
   if (checkpointS === undefined) return bad("knotS is invalid");
   if (saveS === undefined) return bad("spoolS is invalid");
   const deadlineS = absent(body.dueS) ? null : amount(body.dueS);
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -1,5 +1,17 @@
 import protobuf from "protobufjs/light.js";
-import { type MachineId, machineId, type ShareNo, shareNo } from "./ids.js";
+import {
+  type JobId,
+  jobId,
+  type MachineId,
+  machineId,
+  type Revision,
+  revision,
+  type ShareNo,
+  shareNo,
+  type Wall,
+  wall,
+} from "./ids.js";
+import { isJobId } from "./jobs.js";
 
 /** `vacate`: stop what of lower rank runs there first. */
 export interface MoveRequest {
@@ -8,15 +20,34 @@
   readonly vacate: boolean;
 }
 
-/** What the leader asks of a share's holder. Hints only: all that must hold is in the state service. */
+/** A cancellation that is known to be written: the record's revision, and the time it bears. */
+export interface CancelWord {
+  readonly job: JobId;
+  readonly rev: Revision;
+  readonly at: Wall;
+}
+
+/**
+ * What controllers tell one another. What the leader asks of a share's holder are hints only: all
+ * that must hold is in the state service. So is a cancellation, but who tells of one may have read
+ * it where the other can't.
+ */
 export interface PeerMessage {
   readonly from: string;
   readonly moves: readonly MoveRequest[];
   readonly retire: readonly MachineId[];
   /** Why they are to be retired at once; empty: they are surplus. */
   readonly reason: string;
+  readonly cancelled: readonly CancelWord[];
 }
 
+export const NO_WORD: Omit<PeerMessage, "from"> = {
+  moves: [],
+  retire: [],
+  reason: "",
+  cancelled: [],
+};
+
 const root = protobuf.Root.fromJSON({
   nested: {
     Move: {
@@ -26,12 +57,20 @@
         vacate: { type: "bool", id: 3 },
       },
     },
+    Cancelled: {
+      fields: {
+        job: { type: "string", id: 1 },
+        rev: { type: "uint64", id: 2 },
+        at: { type: "double", id: 3 },
+      },
+    },
     PeerMessage: {
       fields: {
         from: { type: "string", id: 1 },
         moves: { rule: "repeated", type: "Move", id: 2 },
         retire: { rule: "repeated", type: "string", id: 3 },
         reason: { type: "string", id: 4 },
+        cancelled: { rule: "repeated", type: "Cancelled", id: 5 },
       },
     },
   },
@@ -43,11 +82,16 @@
 
 /** Throws on bytes that are no such message. */
 export const decodePeer = (bytes: Uint8Array): PeerMessage => {
-  const o = Message.toObject(Message.decode(bytes), { defaults: true, arrays: true }) as {
+  const o = Message.toObject(Message.decode(bytes), {
+    defaults: true,
+    arrays: true,
+    longs: Number,
+  }) as {
     from: string;
     moves: { machine: string; to: number; vacate: boolean }[];
     retire: string[];
     reason: string;
+    cancelled: { job: string; rev: number; at: number }[];
   };
   return {
     from: o.from,
@@ -58,5 +102,9 @@
     })),
     retire: o.retire.map(machineId),
     reason: o.reason,
+    cancelled: o.cancelled
+      .filter((c) => isJobId(c.job) && Number.isSafeInteger(c.rev) && c.rev > 0)
+      .filter((c) => Number.isFinite(c.at))
+      .map((c) => ({ job: jobId(c.job), rev: revision(c.rev), at: wall(c.at) })),
   };
 };
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -1,6 +1,7 @@
 import type { Operators } from "../cli/operators.js";
 import type { Settings } from "../cli/settings.js";
 import { Awake } from "../coordination/awake.js";
+import { Cancellations } from "../coordination/cancels.js";
 import { Holder } from "../coordination/holder.js";
 import { Leader } from "../coordination/leader.js";
 import { Membership, NO_WORDS, type Words } from "../coordination/membership.js";
@@ -24,6 +25,7 @@
 const LOOK_MS = 400;
 const ADOPT_MS = 400;
 const REBALANCE_MS = 200;
+const CANCELS_MS = 500;
 const PEER_MS = 800;
 const SERVED_PATH = "/served";
 const HEARS_PATH = "/hears";
@@ -85,7 +87,8 @@
   const membership: Membership = new Membership(ctx, () => holder.dealings.reaches());
   const holder: Holder = new Holder(ctx, membership, ways.workers, wake);
   const leader = new Leader(ctx, membership, holder, ways.cloud, ways.peers, ways.workers);
-  const users = new Users(ctx, membership, wake);
+  const cancels = new Cancellations(ctx, membership, holder, ways.cloud, ways.peers, ways.workers);
+  const users = new Users(ctx, membership, wake, (w) => cancels.confirm(w));
 
   const front: Handler = (req) => {
     const { method, path } = req;
@@ -118,6 +121,9 @@
       const m = decodePeer(req.bytes);
       for (const x of m.moves) holder.requestMove(x);
       for (const id of m.retire) holder.requestRetire(id, m.reason);
+      // Not yet knowing what it holds, it could not say that it will see to it.
+      if (m.cancelled.length > 0 && !ctx.synced) return { status: 503 };
+      cancels.heard(m.cancelled);
       wake();
       return { status: 204 };
     } catch {
@@ -213,6 +219,7 @@
       jobs: ctx.replica.accepted.size,
       machines: ctx.replica.machines.size,
       holder: holder.stats(),
+      cancels: cancels.stats(),
       ...(membership.leads() ? { leader: leader.stats() } : {}),
       state: ctx.store.counters,
       timesMs: await ctx.metrics.drain(),
@@ -236,6 +243,7 @@
       pass("membership", MEMBERSHIP_MS, () => membership.tend()),
       pass("look", LOOK_MS, look),
       pass("adopt", ADOPT_MS, () => leader.adoptAll()),
+      pass("cancels", CANCELS_MS, () => cancels.tend()),
       pass("watch", operators.watchPauseMs, follow),
       pass("rounds", MIN_ROUND_GAP_MS, rounds),
       pass("cloud", operators.fleetPeriodMs, () => leader.callCloud()),
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -6,7 +6,9 @@
   type JobView,
   jobViewBody,
   parseSubmission,
+  submissionId,
 } from "../protocol/jobs.js";
+import type { CancelWord } from "../protocol/peer.js";
 import { fits } from "../scheduling/resources.js";
 import {
   type Accepted,
@@ -67,6 +69,8 @@
     private readonly membership: Membership,
     /** Called when a job of a share held here changed. */
     private readonly wake: () => void,
+    /** Whether a cancellation that is written is held to, so that a user may be told of it. */
+    private readonly confirm: (w: CancelWord) => Promise<boolean>,
   ) {}
 
   #remember(id: JobId, f: FinalJob): void {
@@ -108,7 +112,14 @@
     const decoded = decodeBody(bytes);
     if (!decoded.ok) return { status: 400, body: { error: "not CBOR" } };
     const parsed = parseSubmission(decoded.value);
-    if (!parsed.ok) return { status: 400, body: { error: parsed.reason } };
+    if (!parsed.ok) {
+      // A known job is answered before any check of what else a repetition says.
+      const id = submissionId(decoded.value);
+      const found = id === undefined ? undefined : await this.#find(id);
+      if (id !== undefined && found !== undefined && found.kind !== "none")
+        return this.#answer(id, found);
+      return { status: 400, body: { error: parsed.reason } };
+    }
     const spec = parsed.value;
     // Known jobs come first: settings or types may have changed since they were accepted.
     if (this.#finals.has(spec.id) || ctx.replica.accepted.has(spec.id)) {
@@ -178,9 +189,10 @@
     return busy();
   }
 
-  #answer(id: JobId, found: Found): Answer {
+  async #answer(id: JobId, found: Found): Promise<Answer> {
     switch (found.kind) {
       case "live":
+        if (found.job.cancelledAt !== null) return this.#cancelled(id, found);
         return {
           status: 200,
           body: jobViewBody(viewOfLive(id, this.#withProgress(id, found.job))),
@@ -194,6 +206,17 @@
     }
   }
 
+  /** Each answer that says `cancelled` binds as the first one does, whatever was asked. */
+  async #cancelled(id: JobId, found: Extract<Found, { kind: "live" }>): Promise<Answer> {
+    const { job, rev } = found;
+    const view = viewOfLive(id, this.#withProgress(id, job));
+    if (job.cancelledAt !== null && (await this.confirm({ job: id, rev, at: job.cancelledAt })))
+      return { status: 200, body: jobViewBody(view) };
+    // All of it may be gone by now.
+    const now = await this.#find(id);
+    return now.kind === "final" ? this.#answer(id, now) : busy();
+  }
+
   /** How far it has come is for display, and as old as what this controller has heard. */
   #withProgress(id: JobId, a: Accepted): LiveJob {
     const { done, open, nextAttempt } = this.ctx.replica.job(id) ?? NO_PROGRESS;
@@ -220,13 +243,13 @@
       if (found.job.cancelledAt !== null) return this.#answer(job, found);
       if (!ctx.store.mayWriteNow(1)) return busy(429);
       const key = keys.live(job);
-      const value = liveValue({ ...found.job, cancelledAt: timeOfDay() });
-      const ops = [{ kind: "put", key, value }] as const;
+      const cancelled = { ...found.job, cancelledAt: timeOfDay() };
+      const ops = [{ kind: "put", key, value: liveValue(cancelled) }] as const;
       const r = await ctx.store.txnSoon({ conditions: [{ key, rev: found.rev }], ops });
       if (r.kind === "applied") {
         absorb(ctx.replica, ops, r.rev);
         this.wake();
-        return { status: 200, body: { uid: job, stage: "cancelled" } };
+        return this.#cancelled(job, { kind: "live", job: cancelled, rev: r.rev });
       }
       // The holder wrote between our read and our write: read again.
       if (r.kind !== "conflict") return busy();
--- a/test/codecs.test.ts
+++ b/test/codecs.test.ts
@@ -45,6 +45,11 @@
   ["the protocol's example", SUBMISSION, true],
   ["unknown fields are ignored", { ...SUBMISSION, extra: 1 }, true],
   ["null may be omitted", { ...SUBMISSION, frames: undefined, dueS: undefined }, true],
+  ...Object.keys(SUBMISSION).map((f): [string, unknown, boolean] => [
+    `without ${f}`,
+    { ...SUBMISSION, [f]: undefined },
+    ["frames", "mill", "dueS"].includes(f),
+  ]),
   ["not a map", [1], false],
   ["nothing", null, false],
   ["a wrong id", { ...SUBMISSION, uid: "job-1" }, false],
@@ -156,8 +161,19 @@
     moves: [{ machine: machineId("m-000001"), to: shareNo(2), vacate: true }],
     retire: [machineId("m-000002")],
     reason: "failed",
+    cancelled: [{ job: jobId("wk-000412"), rev: revision(2 ** 40), at: wall(1_700_000_000_000) }],
   };
   assert.deepEqual(decodePeer(encodePeer(m)), m);
+  // Word of a cancellation that can't be one is passed over; the rest of the message stands.
+  const odd = [
+    { job: jobId("x"), rev: revision(1), at: wall(1) },
+    { job: jobId("wk-1"), rev: revision(0), at: wall(1) },
+    { job: jobId("wk-1"), rev: revision(5), at: wall(Number.NaN) },
+  ];
+  assert.deepEqual(decodePeer(encodePeer({ ...m, cancelled: [...odd, ...m.cancelled] })), m);
+  const { cancelled: _none, ...older } = m;
+  const without = encodePeer({ ...older, cancelled: [] });
+  assert.deepEqual(decodePeer(without).cancelled, []);
   assert.throws(() => decodePeer(new Uint8Array([0xff, 0xff, 0xff])));
 });
 
--- /dev/null
+++ b/test/meetings.test.ts
@@ -0,0 +1,72 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { type CancelStep, type CancelView, judgeCancel } from "../src/coordination/cancels.js";
+import { type Gap, type Sabotage, type Trouble, World } from "./sim/world.js";
+
+/** Days on which two troubles meet. Each asserts that the meeting came about. */
+const calm: Trouble = { lost: 0, crashes: false, outages: false, deaths: false };
+const LONG = { nodes: 3, machines: 40, quota: 160, tasks: 6 };
+const JOBS = 14;
+
+const gaps: readonly (readonly [string, number, Gap])[] = [
+  ["as it is", 31, {}],
+  ["by a question", 33, { by: "question" }],
+  ["by a repeated submission", 33, { by: "repeat" }],
+  ["with the peers cut", 36, { peersCut: true }],
+  ["the confirming ones end", 34, { confirmersEnd: true }],
+  ["the old leader is back within a second", 36, { oldEnds: true }],
+  ["on machines that hang", 37, { machines: "hang" }],
+  ["on deaf machines", 38, { machines: "deaf" }],
+  ["on mute machines", 39, { machines: "mute" }],
+  ["machines hang, the cloud is out for a while", 40, { machines: "hang", cloudOut: true }],
+  [
+    "machines hang, the old leader is back within a second",
+    41,
+    { machines: "hang", oldEnds: true },
+  ],
+  ["machines hang, the confirming ones end", 42, { machines: "hang", confirmersEnd: true }],
+];
+
+for (const [name, seed, gap] of gaps)
+  test(`confirmed cancellations hold through the gap: ${name}`, async () => {
+    const w = new World(seed, { ...calm, gap }, LONG);
+    await w.day(JOBS);
+    assert.deepEqual(w.broken, []);
+    // Cut from the others, the holder can't acknowledge, and no user is told before it is settled.
+    if (gap.peersCut === true) assert.equal(w.met.onOldHolder, 0);
+    else assert.ok(w.met.onOldHolder > 0, "some were confirmed for the refused holder's share");
+    if (gap.machines !== undefined) assert.ok(w.met.troubledMachines > 0, "machines in trouble");
+    // Nobody who left his job alone loses work to the outage, all controllers being alive.
+    if (gap.machines === undefined && gap.oldEnds !== true && gap.confirmersEnd !== true)
+      assert.equal(w.lostRuns, 0);
+  });
+
+const guards: readonly (readonly [Sabotage, Gap])[] = [
+  ["words", {}],
+  ["own_returns", { machines: "hang" }],
+];
+for (const [guard, gap] of guards)
+  test(`the gap breaks a rule without its guard: ${guard}`, async () => {
+    const w = new World(31, { ...calm, gap }, LONG, guard);
+    await w.day(JOBS);
+    assert.ok(
+      w.broken.some((b) => b.startsWith("ran_cancelled")),
+      `${w.broken}`,
+    );
+  });
+
+const steps: readonly (readonly [string, Partial<CancelView>, CancelStep])[] = [
+  ["gone is gone, however late", { gone: true, ageMs: 60_000 }, "rest"],
+  ["at first it is told to stop", {}, "stop"],
+  ["then its machine is to be returned", { ageMs: 19_000 }, "retire"],
+  ["at once where nothing can be written", { ageMs: 19_000, failing: true }, "take_away"],
+  ["a leader that doesn't get to it is not waited for", { ageMs: 31_000 }, "take_away"],
+  ["one taken over just now may show itself", { ageMs: 31_000, unshownMs: 500 }, "stop"],
+  ["not for long", { ageMs: 31_000, unshownMs: 5000 }, "take_away"],
+  ["and not when time runs out", { ageMs: 42_000, unshownMs: 500 }, "take_away"],
+  ["what is past its time already isn't hurried", { ageMs: 90_000, unshownMs: 500 }, "stop"],
+];
+test("what an open attempt of a cancelled job calls for", () => {
+  const view = { gone: false, ageMs: 500, cancelMs: 46_000, failing: false, unshownMs: null };
+  for (const [name, v, step] of steps) assert.equal(judgeCancel({ ...view, ...v }), step, name);
+});
