--- a/src/coordination/batch.ts
+++ b/src/coordination/batch.ts
@@ -5,7 +5,7 @@
   type Revision,
   type ShareNo,
 } from "../protocol/ids.js";
-import type { Condition, Op, Txn } from "../protocol/store.js";
+import { CONDITIONS_PER_OP, type Condition, type Op, type Txn } from "../protocol/store.js";
 import { fleetPageValue, MACHINE_BYTES, progressBytes, workPageValue } from "../storage/pages.js";
 import {
   type FinalJob,
@@ -21,7 +21,6 @@
 const VALUE_MARGIN = 512;
 const PAGE_BYTES = 64;
 const FINAL_BYTES = 160;
-const CONDITIONS_PER_OP = 4;
 /** A page takes at most this part of a transaction, so that several go into one. */
 const PAGES_PER_TXN = 4;
 
--- a/src/coordination/closing.ts
+++ b/src/coordination/closing.ts
@@ -86,8 +86,8 @@
       if (rows === undefined) byJob.set(o.job, [row]);
       else rows.push(row);
     }
-  for (const [id, job] of work.jobs)
-    if (job.cancelledAt !== null && job.open.length === 0 && !byJob.has(id)) byJob.set(id, []);
+  for (const [id, job] of work.index.cancelled)
+    if (job.open.length === 0 && !byJob.has(id)) byJob.set(id, []);
   for (const [id, rows] of byJob) {
     const job = work.jobs.get(id);
     const old: Progress =
--- a/src/coordination/holder.ts
+++ b/src/coordination/holder.ts
@@ -11,8 +11,9 @@
 import { Held } from "./held.js";
 import { MachineRecords } from "./machines.js";
 import type { Membership } from "./membership.js";
-import { Placing, swarm } from "./placing.js";
+import { PlacementRound } from "./placement-round.js";
 import { attemptKey } from "./session.js";
+import { swarmPeriod } from "./swarm-period.js";
 import { WorkerDealings } from "./workers.js";
 
 /** How long a request of the leader's stands. */
@@ -123,7 +124,7 @@
     if (writes) this.#vacate(now);
     if (writes && now - this.#swarmAt >= ctx.operators.swarmPeriodS * 1000) {
       this.#swarmAt = now;
-      for (const share of shares) swarm(held, share, now);
+      for (const share of shares) swarmPeriod(held, share, now);
     }
     const { batch, call, closedKeys, looked } = this.#decide(shares, now);
     const callAll = (): void => {
@@ -207,7 +208,7 @@
       // What frees resources and ends jobs goes first, then machines, then starts.
       closeAttempts(held, round, own);
       const edited = this.#records.tend(round);
-      if (Placing.waits(held, round)) new Placing(held, round, edited).run();
+      if (PlacementRound.needed(held, round)) new PlacementRound(held, round, edited).run();
     }
     return { batch, call, closedKeys, looked };
   }
--- /dev/null
+++ b/src/coordination/places.ts
@@ -0,0 +1,102 @@
+import { type MachineId, type ShareNo, splitTask, type TaskId } from "../protocol/ids.js";
+import type { Resources } from "../protocol/jobs.js";
+import { contenders, distinctNeeds, occupy, type Place } from "../scheduling/placement.js";
+import { ENDLESS, lesser, NOTHING, plus } from "../scheduling/resources.js";
+import type { LiveJob, MachineRecord } from "../storage/records.js";
+import { steadyNow } from "../transport/clock.js";
+import type { Held } from "./held.js";
+
+/** How long a place is kept for a task that moves. */
+export const RESERVATION_MS = 10_000;
+
+/** Spot prices move by a third; what costs this many times the cheapest is of another kind. */
+const DEAR = 2;
+/** Calls in a row that a machine may leave unanswered and still be given tasks. */
+const MOST_UNANSWERED = 1;
+
+const NO_TASKS: ReadonlySet<TaskId> = new Set();
+
+/** Where a job's other open attempts stand, as `oneZone` and `apart` judge them. */
+export const zoneCounts = (held: Held, job: LiveJob): Map<string, number> => {
+  const zones = new Map<string, number>();
+  if (!job.spec.oneZone && !job.spec.apart) return zones;
+  for (const o of job.open) {
+    const zone = held.ctx.replica.machines.get(o.machine)?.zone ?? "";
+    zones.set(zone, (zones.get(zone) ?? 0) + 1);
+  }
+  return zones;
+};
+
+/** Whether a machine of the shard may be given tasks. */
+const takesTasks = (held: Held, id: MachineId, machine: MachineRecord): boolean => {
+  const session = held.sessions.get(id);
+  if (machine.stage !== "up" || held.ctx.replica.isGone(id)) return false;
+  if (session?.state !== "ready" || session.report?.noticeS != null) return false;
+  const note = held.note(id);
+  if (note.retire !== null || note.move !== null) return false;
+  return note.deafCalls <= MOST_UNANSWERED && !held.unheard(id, steadyNow());
+};
+
+/** What stands on a machine once the closings of this round are written. */
+const occupancy = (
+  held: Held,
+  share: ShareNo,
+  id: MachineId,
+  closed: ReadonlySet<TaskId>,
+): { readonly use: Resources; readonly least: Resources } => {
+  const work = held.ctx.replica.work(share);
+  let use = NOTHING;
+  let least = ENDLESS;
+  for (const [task, o] of work.openOn(id)) {
+    const needs = work.jobs.get(o.job)?.spec.needs;
+    if (needs === undefined || closed.has(task)) continue;
+    use = plus(use, needs);
+    least = lesser(least, needs);
+  }
+  return { use, least };
+};
+
+/** Machines of the shard that take tasks, with what stands on them once this round is written. */
+export const placesOf = (
+  held: Held,
+  share: ShareNo,
+  closed: ReadonlyMap<MachineId, ReadonlySet<TaskId>>,
+  edited: ReadonlySet<MachineId>,
+): Map<MachineId, Place> => {
+  const { replica } = held.ctx;
+  const work = replica.work(share);
+  const out = new Map<MachineId, Place>();
+  const perCpu = (price: number, cpus: number): number => price / Math.max(1, cpus);
+  const types = replica.types?.value ?? [];
+  const shapes = distinctNeeds(work.index.needs());
+  const byName = new Map(
+    types.map((type) => [type.name, { type, rivals: contenders(type.capacity, shapes) }]),
+  );
+  const cheapest = Math.min(...types.map((t) => perCpu(t.spotPrice, t.capacity.cpus)));
+  for (const id of held.sessions.keys()) {
+    const machine = replica.machines.get(id);
+    if (machine === undefined || machine.share !== share || edited.has(id)) continue;
+    const known = byName.get(machine.type);
+    if (known === undefined || !takesTasks(held, id, machine)) continue;
+    const price = machine.spot ? known.type.spotPrice : known.type.price;
+    out.set(id, {
+      id,
+      type: machine.type,
+      zone: machine.zone,
+      spot: machine.spot,
+      capacity: known.type.capacity,
+      ...occupancy(held, share, id, closed.get(id) ?? NO_TASKS),
+      price,
+      dear: perCpu(price, known.type.capacity.cpus) > DEAR * cheapest,
+      fetchGbPerS: known.type.fetchGbPerS,
+      images: held.note(id).images,
+      contenders: known.rivals,
+    });
+  }
+  for (const [task, reservation] of held.incoming) {
+    const place = out.get(reservation.to);
+    const needs = work.jobs.get(splitTask(task).job)?.spec.needs;
+    if (place !== undefined && needs !== undefined) occupy(place, needs);
+  }
+  return out;
+};
--- a/src/protocol/store.ts
+++ b/src/protocol/store.ts
@@ -25,6 +25,9 @@
   readonly rev: Revision;
 }
 
+/** A transaction takes this many conditions for each change that it may make. */
+export const CONDITIONS_PER_OP = 4;
+
 export interface Txn {
   readonly conditions: readonly Condition[];
   readonly ops: readonly Op[];
@@ -37,8 +40,15 @@
     : { write: op.key, v: op.value, tenure: wide(op.lease) };
 };
 
+const conditionBody = (c: Condition): Fields => ({ path: c.key, mark: wide(c.rev) });
+
+/** A transaction that only compares. */
+export const compareBody = (conditions: readonly Condition[]): Fields => ({
+  if: conditions.map(conditionBody),
+});
+
 export const txnBody = (t: Txn): Fields => ({
-  if: t.conditions.map((c) => ({ path: c.key, mark: wide(c.rev) })),
+  if: t.conditions.map(conditionBody),
   apply: t.ops.map(opBody),
 });
 
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -1,7 +1,7 @@
 import type { Objective, Team } from "../cli/settings.js";
 import type { MachineType } from "../protocol/cloud.js";
 import type { JobId, ShareNo, TeamName, Wall } from "../protocol/ids.js";
-import { type Resources, rankOrder } from "../protocol/jobs.js";
+import { type JobSpec, type Resources, rankOrder } from "../protocol/jobs.js";
 import { type LiveJob, waitingCount } from "../storage/records.js";
 import { type DemandGroup, follow } from "./fleet.js";
 import { patienceS, targetsOf, windowS } from "./objectives.js";
@@ -15,7 +15,8 @@
   readonly jobs: Iterable<readonly [JobId, LiveJob]>;
   readonly shareOf: ReadonlyMap<TeamName, ShareNo>;
   readonly teams: ReadonlyMap<TeamName, Team>;
-  readonly owed: ReadonlySet<JobId>;
+  /** Jobs within their team's guarantee. */
+  readonly withinGuarantee: ReadonlySet<JobId>;
   readonly objectives: readonly Objective[];
   readonly runS: (job: LiveJob) => number;
   readonly types: readonly MachineType[];
@@ -39,12 +40,12 @@
  * Groups whose tasks fit the same machine types, and so use the same processors in turn. Work that
  * only some types can take gains nothing from the ends of work on the others. In processors.
  */
-interface Kin {
+interface SharedTypes {
   readonly due: { readonly wanted: Due[]; readonly needed: Due[] };
   readonly alone: { wanted: number; needed: number };
 }
 
-const newKin = (): Kin => ({
+const newSharedTypes = (): SharedTypes => ({
   due: { wanted: [], needed: [] },
   alone: { wanted: 0, needed: 0 },
 });
@@ -55,7 +56,7 @@
   readonly zone: string | null;
   readonly spotAllowed: boolean;
   readonly rank: number;
-  readonly kin: Kin;
+  readonly sharing: SharedTypes;
   open: number;
   readonly waiting: Map<ShareNo, number>;
   waits: number;
@@ -89,6 +90,19 @@
   return most;
 };
 
+const groupKeys = new WeakMap<JobSpec, string>();
+
+/** Tasks with the same key are alike for renting. The class comes first, for the log. */
+const groupKey = (spec: JobSpec): string => {
+  const known = groupKeys.get(spec);
+  if (known !== undefined) return known;
+  const { needs, types, zone, spotAllowed, jobClass } = spec;
+  const shape = [jobClass, needs.cpus, needs.gpus, needs.ramGb];
+  const key = [...shape, types?.join() ?? "*", zone ?? "*", spotAllowed].join("|");
+  groupKeys.set(spec, key);
+  return key;
+};
+
 /**
  * Slots wanted by group. A class whose objectives leave less time than a machine takes to boot
  * wants room for all that is in the system, and some more; one with time to spare wants enough
@@ -99,26 +113,25 @@
   d: DemandInput,
 ): { readonly groups: readonly DemandGroup[]; readonly levels: ReadonlyMap<string, number> } => {
   const sums = new Map<string, Sum>();
-  const kins = new Map<string, Kin>();
+  const byTypes = new Map<string, SharedTypes>();
   const teamRoom = new Map<TeamName, number>();
   for (const [id, j] of d.jobs) {
     const share = d.shareOf.get(j.spec.team);
     if (share === undefined) continue;
-    const { needs, types, zone, spotAllowed, jobClass, rank, team } = j.spec;
-    const shape = [jobClass, needs.cpus, needs.gpus, needs.ramGb];
-    const key = [...shape, types?.join() ?? "*", zone ?? "*", spotAllowed].join("|");
+    const { needs, types, zone, spotAllowed, rank, team } = j.spec;
+    const key = groupKey(j.spec);
     let e = sums.get(key);
     if (e === undefined) {
       const base = { needs, types, zone, spotAllowed, rank: rankOrder(rank) };
       const on = d.types.filter(
         (t) => fits(needs, t.capacity) && (types === null || types.includes(t.name)),
       );
-      const kinKey = on.map((t) => t.name).join("|");
-      const kin = kins.get(kinKey) ?? newKin();
-      kins.set(kinKey, kin);
+      const typesKey = on.map((t) => t.name).join("|");
+      const sharing = byTypes.get(typesKey) ?? newSharedTypes();
+      byTypes.set(typesKey, sharing);
       e = {
         ...base,
-        kin,
+        sharing,
         open: 0,
         waits: 0,
         waiting: new Map(),
@@ -136,7 +149,7 @@
     teamRoom.set(team, room - (waiting + j.open.length) * needs.cpus);
     const runS = d.runS(j);
     const ageS = Math.max(0, (d.now - j.acceptedAt) / 1000);
-    const targets = targetsOf(j.spec, d.objectives, d.owed.has(id));
+    const targets = targetsOf(j.spec, d.objectives, d.withinGuarantee.has(id));
     e.open += j.open.length;
     e.waits += waiting;
     if (waiting > 0) e.waiting.set(share, (e.waiting.get(share) ?? 0) + waiting);
@@ -153,7 +166,7 @@
       const window = windowS(targets, ageS, runS, part);
       e[tier] += slotsIn(window);
       // Nothing is done sooner than it runs.
-      e.kin.due[tier].push({ windowS: Math.max(window, runS, LEAST_WINDOW_S), work });
+      e.sharing.due[tier].push({ windowS: Math.max(window, runS, LEAST_WINDOW_S), work });
     }
   }
   for (const e of sums.values()) {
@@ -161,12 +174,12 @@
     const cpus = Math.max(e.needs.cpus, LEAST_CPUS);
     for (const tier of ["wanted", "needed"] as const) {
       if (e.urgent) e[tier] = e.open + e.waits;
-      e.kin.alone[tier] += e[tier] * cpus;
+      e.sharing.alone[tier] += e[tier] * cpus;
     }
   }
-  const part = (kin: Kin, tier: "wanted" | "needed"): number => {
-    const bound = demandBound(kin.due[tier]);
-    return kin.alone[tier] > 0 ? Math.min(1, (d.margin * bound) / kin.alone[tier]) : 1;
+  const part = (sharing: SharedTypes, tier: "wanted" | "needed"): number => {
+    const bound = demandBound(sharing.due[tier]);
+    return sharing.alone[tier] > 0 ? Math.min(1, (d.margin * bound) / sharing.alone[tier]) : 1;
   };
   const levels = new Map<string, number>();
   const ranked: { g: DemandGroup; rank: number }[] = [];
@@ -176,9 +189,9 @@
       levels.set(name, seen);
       return seen;
     };
-    const needed = smooth(`${key}|needed`, e.needed * part(e.kin, "needed"));
-    const wanted = smooth(`${key}|wanted`, e.wanted * part(e.kin, "wanted"));
-    const { open, waits, hasty, kin: _k, wanted: _w, needed: _n, ...g } = e;
+    const needed = smooth(`${key}|needed`, e.needed * part(e.sharing, "needed"));
+    const wanted = smooth(`${key}|wanted`, e.wanted * part(e.sharing, "wanted"));
+    const { open, waits, hasty, sharing: _sharing, wanted: _wanted, needed: _needed, ...g } = e;
     const beside = (n: number): number => Math.max(0, Math.ceil(n) - open);
     ranked.push({
       g: {
--- a/src/scheduling/fleet.ts
+++ b/src/scheduling/fleet.ts
@@ -81,6 +81,8 @@
   taken: number;
   moved: boolean;
   readonly yielded: Set<FleetMachine["tasks"][number]>;
+  /** What clearing the machine would throw away. */
+  readonly lossS: number;
 }
 
 const allows = (
@@ -179,14 +181,13 @@
   const out: MoveRequest[] = [];
   for (const u of short) {
     if (vacate && !u.g.urgent) continue;
-    const lossS = (r: Room): number => r.m.tasks.reduce((n, t) => n + t.lossS, 0);
     const others = rooms.filter(
       (r) => r.m.share !== u.share && r.m.up && !r.moved && r.taken === 0 && r.yielded.size === 0,
     );
     const candidates = vacate
       ? others.filter((r) => r.m.open > 0 && r.m.tasks.every((t) => t.rank > u.g.rank))
       : others.filter((r) => r.m.open === 0);
-    if (vacate) candidates.sort((a, b) => lossS(a) - lossS(b));
+    if (vacate) candidates.sort((a, b) => a.lossS - b.lossS);
     else gather(candidates);
     for (const r of candidates) {
       if (u.left === 0) break;
@@ -247,6 +248,7 @@
     taken: 0,
     moved: false,
     yielded: new Set<FleetMachine["tasks"][number]>(),
+    lossS: m.tasks.reduce((sum, task) => sum + task.lossS, 0),
   }));
   return rooms.sort(
     (a, b) =>
--- a/src/scheduling/objectives.ts
+++ b/src/scheduling/objectives.ts
@@ -7,11 +7,42 @@
   readonly withinS: number;
 }
 
-/** What the settings (and a job's own deadline) ask of one job, soonest first. */
+type TargetSpec = Pick<JobSpec, "jobClass" | "deadlineS">;
+
+/** Targets of a spec, first those beyond a guarantee, then those within. */
+type KnownTargets = [readonly Target[] | undefined, readonly Target[] | undefined];
+
+const known = new WeakMap<readonly Objective[], WeakMap<TargetSpec, KnownTargets>>();
+
+/**
+ * What the settings (and a job's own deadline) ask of one job, soonest first. A job is looked at
+ * in many rounds, so its targets are worked out once for each pair of objectives and spec.
+ */
 export const targetsOf = (
-  spec: Pick<JobSpec, "jobClass" | "deadlineS">,
+  spec: TargetSpec,
+  objectives: readonly Objective[],
+  withinGuarantee: boolean,
+): readonly Target[] => {
+  let bySpec = known.get(objectives);
+  if (bySpec === undefined) {
+    bySpec = new WeakMap();
+    known.set(objectives, bySpec);
+  }
+  let pair = bySpec.get(spec);
+  if (pair === undefined) {
+    pair = [undefined, undefined];
+    bySpec.set(spec, pair);
+  }
+  const at = withinGuarantee ? 1 : 0;
+  const targets = pair[at] ?? workOutTargets(spec, objectives, withinGuarantee);
+  pair[at] = targets;
+  return targets;
+};
+
+const workOutTargets = (
+  spec: TargetSpec,
   objectives: readonly Objective[],
-  owed: boolean,
+  withinGuarantee: boolean,
 ): readonly Target[] => {
   const out: Target[] = [];
   for (const o of objectives) {
@@ -19,7 +50,7 @@
     if (mine && o.kind === "deadline" && spec.deadlineS !== null && o.times !== null)
       out.push({ kind: "finish", withinS: spec.deadlineS * o.times });
     if (!mine || o.withinS === null) continue;
-    if (o.kind === "wait" || (o.kind === "guarantee" && owed))
+    if (o.kind === "wait" || (o.kind === "guarantee" && withinGuarantee))
       out.push({ kind: "start", withinS: o.withinS });
     if (o.kind === "finished") out.push({ kind: "finish", withinS: o.withinS });
   }
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -24,23 +24,38 @@
 /** Where a job's other open attempts stand, as `oneZone` and `apart` judge them. */
 export type ZoneCounts = ReadonlyMap<string, number>;
 
+/** What of a job decides which machines may take its tasks. */
+type PlacementRules = Pick<
+  JobSpec,
+  "types" | "zone" | "spotAllowed" | "oneZone" | "apart" | "tasks"
+>;
+
 /** At most half of the tasks, rounded up, in one zone. */
 export const apartLimit = (tasks: number): number => Math.ceil(tasks / 2);
 
-/** PROTOCOL's `wrong_place`: type, kind, zone, and the job's other tasks. */
-export const permitted = (
-  spec: JobSpec,
+/** The part of PROTOCOL's `wrong_place` that does not depend on the job's other tasks. */
+const permittedAlone = (
+  spec: PlacementRules,
   place: { readonly type: string; readonly zone: string; readonly spot: boolean },
-  zones: ZoneCounts,
 ): boolean => {
   if (place.spot && !spec.spotAllowed) return false;
   if (spec.types !== null && !spec.types.includes(place.type)) return false;
-  if (spec.zone !== null && spec.zone !== place.zone) return false;
-  if (spec.oneZone) for (const [zone, n] of zones) if (n > 0 && zone !== place.zone) return false;
-  if (spec.apart && (zones.get(place.zone) ?? 0) >= apartLimit(spec.tasks)) return false;
-  return true;
+  return spec.zone === null || spec.zone === place.zone;
 };
 
+/** The part that depends on where the job's other tasks are. */
+const permittedBeside = (spec: PlacementRules, zone: string, zones: ZoneCounts): boolean => {
+  if (spec.oneZone) for (const [other, n] of zones) if (n > 0 && other !== zone) return false;
+  return !spec.apart || (zones.get(zone) ?? 0) < apartLimit(spec.tasks);
+};
+
+/** PROTOCOL's `wrong_place`: type, kind, zone, and the job's other tasks. */
+export const permitted = (
+  spec: PlacementRules,
+  place: { readonly type: string; readonly zone: string; readonly spot: boolean },
+  zones: ZoneCounts,
+): boolean => permittedAlone(spec, place) && permittedBeside(spec, place.zone, zones);
+
 /**
  * How many of the needs that are about a machine of this capacity could serve. Types that few can
  * use are filled first, or tasks that fit nowhere else find the large machines full of small ones.
@@ -55,56 +70,108 @@
   return [...out.values()];
 };
 
-/** Whether fetching the image there takes longer than the task has until it should run. */
-const fetchesTooLong = (
-  spec: Pick<JobSpec, "image" | "imageGb">,
-  p: Place,
-  hurryS: number,
-): boolean =>
-  hurryS < Number.POSITIVE_INFINITY &&
-  !p.images.has(spec.image) &&
-  spec.imageGb > hurryS * p.fetchGbPerS;
+/** Whether jobs place their tasks by rules that look at the job's other tasks. */
+export const bindsZones = (spec: PlacementRules): boolean => spec.oneZone || spec.apart;
+
+const groupKeys = new WeakMap<JobSpec, string>();
 
 /**
- * The feasible machine that the fewest other needs could use, of those the one with the lowest p
- * after; ties go to a cached image, then to the lowest price. Null if none has room.
+ * Jobs with the same key are alike for placement, but for where their other tasks are and how soon
+ * they must run. (A selector shared by jobs of which only one was bound to a zone broke the rule.)
  */
-export const choosePlace = (
-  spec: JobSpec,
-  places: readonly Place[],
-  zones: ZoneCounts,
-  hurryS = Number.POSITIVE_INFINITY,
-): Place | null => {
-  let best: Place | null = null;
-  let bestP = 0;
-  /** What comes before p: what others need is spared, then what is too slow, then what costs much. */
-  const worse = (a: Place, b: Place): number =>
-    a.contenders - b.contenders ||
-    Number(fetchesTooLong(spec, a, hurryS)) - Number(fetchesTooLong(spec, b, hurryS)) ||
-    Number(a.dear) - Number(b.dear);
-  for (const place of places) {
-    if (best !== null && worse(place, best) > 0) continue;
-    if (!fitsBeside(spec.needs, place.use, place.capacity)) continue;
-    if (!permitted(spec, place, zones)) continue;
-    const p = pheromone(
-      plus(place.use, spec.needs),
-      place.capacity,
-      lesser(place.least, spec.needs),
-    );
-    if (best === null || worse(place, best) < 0 || p < bestP - 1e-9) {
-      best = place;
-      bestP = p;
-      continue;
+export const placementGroup = (spec: JobSpec): string => {
+  const known = groupKeys.get(spec);
+  if (known !== undefined) return known;
+  const { needs, types, zone, spotAllowed, image, imageGb, oneZone, apart } = spec;
+  // Jobs that are spread over zones are so by their number of tasks.
+  const spread = apart ? spec.tasks : 0;
+  const key = JSON.stringify([needs, types, zone, spotAllowed, image, imageGb, oneZone, spread]);
+  groupKeys.set(spec, key);
+  return key;
+};
+
+/** What a selector has worked out of one place, and the use that it was worked out for. */
+interface Candidate {
+  readonly place: Place;
+  readonly cached: boolean;
+  /** The longest that its image's fetch takes there. */
+  readonly fetchS: number;
+  use: Resources | undefined;
+  room: boolean;
+  p: number;
+}
+
+/** Differences of p below this are ties. */
+const P_TIE = 1e-9;
+
+/**
+ * Chooses machines for the tasks of jobs that are alike for placement. Of the feasible machines it
+ * takes the one that the fewest other needs could use, then one that fetches the image in time, then
+ * a cheap one, then the one with the lowest p after; ties go to a cached image, then to the price.
+ *
+ * What it works out of a machine stands until the machine's use changes, so that a large array costs
+ * a comparison for each machine and task, and the paper's formula only for machines just changed.
+ */
+export class PlaceSelector {
+  readonly #candidates: readonly Candidate[];
+
+  constructor(
+    private readonly spec: JobSpec,
+    places: Iterable<Place>,
+  ) {
+    const candidates: Candidate[] = [];
+    for (const place of places) {
+      if (!permittedAlone(spec, place)) continue;
+      const cached = place.images.has(spec.image);
+      const fetchS = cached ? 0 : spec.imageGb / place.fetchGbPerS;
+      candidates.push({ place, cached, fetchS, use: undefined, room: false, p: 0 });
     }
-    if (p > bestP + 1e-9) continue;
-    const cached = place.images.has(spec.image);
-    const bestCached = best.images.has(spec.image);
-    if (cached !== bestCached ? cached : place.price < best.price) {
-      best = place;
-      bestP = Math.min(p, bestP);
+    this.#candidates = candidates;
+  }
+
+  /** The machine for one more task, or null if none has room. `excluded` ones are passed over. */
+  choose(
+    zones: ZoneCounts,
+    hurryS = Number.POSITIVE_INFINITY,
+    excluded?: (place: Place) => boolean,
+  ): Place | null {
+    const { spec } = this;
+    const binds = bindsZones(spec);
+    let best: Candidate | null = null;
+    for (const c of this.#candidates) {
+      const before = best === null ? 0 : this.#compare(c, best, hurryS);
+      if (before > 0 || !this.#hasRoom(c)) continue;
+      if (binds && !permittedBeside(spec, c.place.zone, zones)) continue;
+      if (excluded?.(c.place) === true) continue;
+      if (best === null || before < 0 || betterWithin(c, best)) best = c;
     }
+    return best?.place ?? null;
   }
-  return best;
+
+  /** What comes before p: what others need is spared, then what is too slow, then what costs much. */
+  #compare(a: Candidate, b: Candidate, hurryS: number): number {
+    return (
+      a.place.contenders - b.place.contenders ||
+      Number(a.fetchS > hurryS) - Number(b.fetchS > hurryS) ||
+      Number(a.place.dear) - Number(b.place.dear)
+    );
+  }
+
+  #hasRoom(c: Candidate): boolean {
+    const { place } = c;
+    if (c.use === place.use) return c.room;
+    const { needs } = this.spec;
+    c.use = place.use;
+    c.room = fitsBeside(needs, place.use, place.capacity);
+    if (c.room) c.p = pheromone(plus(place.use, needs), place.capacity, lesser(place.least, needs));
+    return c.room;
+  }
+}
+
+/** Of two machines of the same standing: the lower p after, then the cached image, then the price. */
+const betterWithin = (a: Candidate, b: Candidate): boolean => {
+  if (Math.abs(a.p - b.p) > P_TIE) return a.p < b.p;
+  return a.cached !== b.cached ? a.cached : a.place.price < b.place.price;
 };
 
 export const occupy = (place: Place, needs: Resources): void => {
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -25,6 +25,9 @@
 const LOOK_MS = 400;
 const ADOPT_MS = 400;
 const REBALANCE_MS = 200;
+/** How many times as long as it took a rebalance rests, and what is too short to count. */
+const REBALANCE_REST = 5;
+const LEAST_REST_MS = 2;
 const CANCELS_MS = 500;
 const FAILING_EVERY_MS = 2000;
 const PEER_MS = 800;
@@ -182,11 +185,26 @@
       ]);
     wakeRounds = undefined;
     roundDue = false;
-    const next = await holder.round();
-    if (next === "idle") return;
-    roundDue = true;
-    // Until the budget lets the next one through, what happens gathers into a wider batch.
-    if (next !== "again") await sleep(Math.min(operators.roundMs, next.pauseMs));
+    const began = steadyNow();
+    const round = holder.round();
+    // As long as was decided for, what happens gathers into a wider batch: however much there is to
+    // decide, reports, users and leases keep half of the processor.
+    const restUntil = steadyNow() + Math.min(operators.roundMs, steadyNow() - began);
+    const next = await round;
+    if (next !== "idle") roundDue = true;
+    // The same until the budget lets the next one through.
+    const pauseMs = typeof next === "object" ? Math.min(operators.roundMs, next.pauseMs) : 0;
+    const restMs = Math.max(pauseMs, restUntil - steadyNow());
+    if (restMs > 0) await sleep(restMs);
+  };
+
+  /** A decision that rests for `times` as long as it took, so that it takes a bounded part. */
+  const rested = (times: number, run: () => Promise<unknown>) => async (): Promise<void> => {
+    const began = steadyNow();
+    const done = run();
+    const tookMs = steadyNow() - began;
+    await done;
+    if (tookMs >= LEAST_REST_MS) await sleep(times * tookMs);
   };
 
   /** What the other controllers say of themselves: yes, no, or nothing. */
@@ -230,6 +248,7 @@
       cancels: cancels.stats(),
       ...(membership.leads() ? { leader: leader.stats() } : {}),
       state: ctx.store.counters,
+      questions: users.stats(),
       timesMs: await ctx.metrics.drain(),
       rssMb: Math.round(rss / 1e6),
       heapMb: Math.round(heapUsed / 1e6),
@@ -256,7 +275,11 @@
       pass("rounds", MIN_ROUND_GAP_MS, rounds),
       pass("cloud", operators.fleetPeriodMs, () => leader.callCloud()),
       pass("failing", FAILING_EVERY_MS, () => leader.tellFailing()),
-      pass("rebalance", REBALANCE_MS, () => leader.rebalance()),
+      pass(
+        "rebalance",
+        REBALANCE_MS,
+        rested(REBALANCE_REST, () => leader.rebalance()),
+      ),
       pass("fleet", operators.fleetPeriodMs, () => leader.plan()),
       pass("stats", operators.statsPeriodS * 1000, stats),
     ],
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -1,5 +1,5 @@
 import type { Membership } from "../coordination/membership.js";
-import { ABSENT, type JobId, jobId, type Revision } from "../protocol/ids.js";
+import { ABSENT, type JobId, jobId } from "../protocol/ids.js";
 import {
   isJobId,
   type JobSpec,
@@ -9,7 +9,10 @@
   submissionId,
 } from "../protocol/jobs.js";
 import type { CancelWord } from "../protocol/peer.js";
+import { CONDITIONS_PER_OP } from "../protocol/store.js";
 import { fits } from "../scheduling/resources.js";
+import { GroupCommit } from "../storage/group-commit.js";
+import { type FoundJob, JobReader } from "../storage/job-reader.js";
 import {
   type Accepted,
   doneCount,
@@ -19,15 +22,11 @@
   liveValue,
   NO_PROGRESS,
   newJob,
-  parseFinal,
-  parseLive,
 } from "../storage/records.js";
 import { steadyNow, timeOfDay } from "../transport/clock.js";
 import { type Answer, decodeBody } from "../transport/server.js";
 import { absorb, type Context } from "./context.js";
 
-/** Terminal states never change, so they may be answered from memory for ever. */
-const FINALS_KEPT = 20_000;
 /** What was read this long ago is not told any more. */
 const STALE_MS = 1000;
 /** A refused user comes back after this long. */
@@ -53,15 +52,10 @@
   running: 0,
 });
 
-type Found =
-  | { readonly kind: "live"; readonly job: Accepted; readonly rev: Revision }
-  | { readonly kind: "final"; readonly job: FinalJob }
-  | { readonly kind: "none" }
-  | { readonly kind: "unavailable" };
-
 /** The users' interface. Everything it answers about a job has been read from the state service. */
 export class Users {
-  readonly #finals = new Map<JobId, FinalJob>();
+  readonly #jobs: JobReader;
+  readonly #writes: GroupCommit;
   #pending = 0;
 
   constructor(
@@ -71,40 +65,15 @@
     private readonly wake: () => void,
     /** Whether a cancellation that is written is held to, so that a user may be told of it. */
     private readonly confirm: (w: CancelWord) => Promise<boolean>,
-  ) {}
-
-  #remember(id: JobId, f: FinalJob): void {
-    if (this.#finals.size >= FINALS_KEPT) {
-      const oldest = this.#finals.keys().next().value;
-      if (oldest !== undefined) this.#finals.delete(oldest);
-    }
-    this.#finals.set(id, f);
+  ) {
+    const mostOps = ctx.settings.state.txnOps;
+    const mostConditions = mostOps * CONDITIONS_PER_OP;
+    this.#jobs = new JobReader(ctx.store, ctx.replica, mostConditions);
+    this.#writes = new GroupCommit(ctx.store, { mostOps, mostConditions });
   }
 
-  /** Live first, then final: jobs move only that way, so only both absent means unknown. */
-  async #read(id: JobId): Promise<Found> {
-    const live = await this.ctx.store.get(keys.live(id));
-    if (live.kind === "unavailable") return live;
-    if (live.kind === "found") {
-      const job = parseLive(id, live.item.value);
-      return job === undefined
-        ? { kind: "unavailable" }
-        : { kind: "live", job, rev: live.item.rev };
-    }
-    const final = await this.ctx.store.get(keys.final(id));
-    if (final.kind === "unavailable") return final;
-    if (final.kind === "absent") return { kind: "none" };
-    const job = parseFinal(final.item.value);
-    if (job === undefined) return { kind: "unavailable" };
-    this.#remember(id, job);
-    return { kind: "final", job };
-  }
-
-  async #find(id: JobId): Promise<Found> {
-    const known = this.#finals.get(id);
-    if (known !== undefined) return { kind: "final", job: known };
-    if (!this.ctx.store.mayRead()) return { kind: "unavailable" };
-    return this.#read(id);
+  stats(): Readonly<Record<string, unknown>> {
+    return this.#jobs.counters;
   }
 
   async submit(bytes: Buffer): Promise<Answer> {
@@ -115,22 +84,22 @@
     if (!parsed.ok) {
       // A known job is answered before any check of what else a repetition says.
       const id = submissionId(decoded.value);
-      const found = id === undefined ? undefined : await this.#find(id);
+      const found = id === undefined ? undefined : await this.#jobs.read(id);
       if (id !== undefined && found !== undefined && found.kind !== "none")
         return this.#answer(id, found);
       return { status: 400, body: { error: parsed.reason } };
     }
     const spec = parsed.value;
     // Known jobs come first: settings or types may have changed since they were accepted.
-    if (this.#finals.has(spec.id) || ctx.replica.accepted.has(spec.id)) {
-      const found = await this.#find(spec.id);
+    if (this.#jobs.finalOf(spec.id) !== undefined || ctx.replica.accepted.has(spec.id)) {
+      const found = await this.#jobs.read(spec.id);
       if (found.kind !== "none") return this.#answer(spec.id, found);
     }
     const types = ctx.replica.types?.value;
     if (!ctx.synced || types === undefined || types.length === 0) return busy();
     const refusal = this.#neverRuns(spec);
     if (refusal !== undefined) {
-      const found = await this.#find(spec.id);
+      const found = await this.#jobs.read(spec.id);
       if (found.kind !== "none") return this.#answer(spec.id, found);
       return { status: 422, body: { error: refusal } };
     }
@@ -172,7 +141,7 @@
     const key = keys.live(spec.id);
     const value = liveValue(newJob(spec, timeOfDay()));
     const ops = [{ kind: "put", key, value }] as const;
-    const r = await ctx.store.txnSoon({
+    const r = await this.#writes.commit({
       conditions: [
         { key, rev: ABSENT },
         { key: keys.final(spec.id), rev: ABSENT },
@@ -185,11 +154,11 @@
       return { status: 201, body: { uid: spec.id, stage: "queued" } };
     }
     // A conflict means it is known already. No answer means it may be: the user asks again.
-    if (r.kind === "conflict") return this.#answer(spec.id, await this.#find(spec.id));
+    if (r.kind === "conflict") return this.#answer(spec.id, await this.#jobs.read(spec.id));
     return busy();
   }
 
-  async #answer(id: JobId, found: Found): Promise<Answer> {
+  async #answer(id: JobId, found: FoundJob): Promise<Answer> {
     switch (found.kind) {
       case "live":
         if (found.job.cancelledAt !== null) return this.#cancelled(id, found);
@@ -207,13 +176,13 @@
   }
 
   /** Each answer that says `cancelled` binds as the first one does, whatever was asked. */
-  async #cancelled(id: JobId, found: Extract<Found, { kind: "live" }>): Promise<Answer> {
+  async #cancelled(id: JobId, found: Extract<FoundJob, { kind: "live" }>): Promise<Answer> {
     const { job, rev } = found;
     const view = viewOfLive(id, this.#withProgress(id, job));
     if (job.cancelledAt !== null && (await this.confirm({ job: id, rev, at: job.cancelledAt })))
       return { status: 200, body: jobViewBody(view) };
     // All of it may be gone by now.
-    const now = await this.#find(id);
+    const now = await this.#jobs.read(id);
     return now.kind === "final" ? this.#answer(id, now) : busy();
   }
 
@@ -225,10 +194,9 @@
 
   async poll(id: string): Promise<Answer> {
     if (!isJobId(id)) return { status: 404, body: { error: "unknown job" } };
-    const began = steadyNow();
-    const found = await this.#find(jobId(id));
+    const found = await this.#jobs.read(jobId(id));
     // Read before this process stood still, perhaps: another controller may have told more since.
-    if (found.kind === "live" && steadyNow() - began > STALE_MS) return busy();
+    if (found.kind === "live" && steadyNow() - found.askedAt > STALE_MS) return busy();
     return this.#answer(jobId(id), found);
   }
 
@@ -238,18 +206,20 @@
     const { ctx } = this;
     const deadline = steadyNow() + 2000;
     for (let tries = 0; tries < 5 && steadyNow() < deadline; tries++) {
-      const found = await this.#find(job);
+      // The write is conditional, so what is known here will do to begin with.
+      const found = (tries === 0 && this.#known(job)) || (await this.#jobs.read(job));
       if (found.kind !== "live") return this.#answer(job, found);
       if (found.job.cancelledAt !== null) return this.#answer(job, found);
       if (!ctx.store.mayWriteNow(1)) return busy(429);
       const key = keys.live(job);
       const cancelled = { ...found.job, cancelledAt: timeOfDay() };
       const ops = [{ kind: "put", key, value: liveValue(cancelled) }] as const;
-      const r = await ctx.store.txnSoon({ conditions: [{ key, rev: found.rev }], ops });
+      const r = await this.#writes.commit({ conditions: [{ key, rev: found.rev }], ops });
       if (r.kind === "applied") {
         absorb(ctx.replica, ops, r.rev);
         this.wake();
-        return this.#cancelled(job, { kind: "live", job: cancelled, rev: r.rev });
+        const askedAt = steadyNow();
+        return this.#cancelled(job, { kind: "live", job: cancelled, rev: r.rev, askedAt });
       }
       // The holder wrote between our read and our write: read again.
       if (r.kind !== "conflict") return busy();
@@ -257,6 +227,14 @@
     return busy();
   }
 
+  /** A live job as this controller has heard of it, which another may have changed since. */
+  #known(id: JobId): FoundJob | undefined {
+    const accepted = this.ctx.replica.accepted.get(id);
+    if (accepted === undefined) return undefined;
+    const { value: job, rev } = accepted;
+    return { kind: "live", job, rev, askedAt: steadyNow() };
+  }
+
   /**
    * Ready once requests can be served. An outage of the state service is answered, not hidden; but
    * one whom it alone doesn't serve leaves its users to the others.
--- a/src/storage/ranges.ts
+++ b/src/storage/ranges.ts
@@ -42,22 +42,19 @@
   return out;
 };
 
-/** The first `most` numbers below `end` that are in no range and not in `except`. */
-export const rangesMissing = (
+/** Numbers below `end` that are in no range and not in `except`, in order, worked out as asked for. */
+export function* rangesMissing(
   r: Ranges,
   end: number,
   except: ReadonlySet<number>,
-  most: number,
-): readonly number[] => {
-  const out: number[] = [];
+): Iterable<number> {
   let x = 0;
-  for (let i = 0; i <= r.length && out.length < most; i += 2) {
+  for (let i = 0; i <= r.length; i += 2) {
     const stop = i < r.length ? (r[i] as number) : end;
-    for (; x < stop && out.length < most; x++) if (!except.has(x)) out.push(x);
+    for (; x < stop; x++) if (!except.has(x)) yield x;
     if (i < r.length) x = (r[i + 1] as number) + 1;
   }
-  return out;
-};
+}
 
 export const parseRanges = (v: unknown): Ranges =>
   Array.isArray(v) && v.length % 2 === 0 && v.every((n) => Number.isInteger(n)) ? v : [];
--- a/src/storage/replica.ts
+++ b/src/storage/replica.ts
@@ -97,6 +97,11 @@
     for (const w of this.#work.values()) yield* w.jobs;
   }
 
+  /** The work of each shard of which something is known. */
+  works(): Iterable<ShareWork> {
+    return this.#work.values();
+  }
+
   openOn(id: MachineId): ReturnType<ShareWork["openOn"]> {
     return this.work(this.machines.get(id)?.share ?? shareNo(0)).openOn(id);
   }
--- a/src/storage/store.ts
+++ b/src/storage/store.ts
@@ -1,6 +1,8 @@
 import { type LeaseId, type Mono, mono, type Revision } from "../protocol/ids.js";
 import {
   type Change,
+  type Condition,
+  compareBody,
   grantBody,
   type Item,
   parseChanges,
@@ -27,6 +29,12 @@
   /** May have been applied, or may yet be. */
   | { readonly kind: "unknown" };
 
+export type CompareResult =
+  /** All conditions held at one moment after the call. */
+  | { readonly kind: "current" }
+  | { readonly kind: "conflict"; readonly failed: readonly string[] }
+  | { readonly kind: "unavailable" };
+
 export type ReadResult =
   | { readonly kind: "found"; readonly item: Item }
   | { readonly kind: "absent"; readonly rev: Revision }
@@ -174,6 +182,15 @@
     }
   }
 
+  /** One request, and no write, that proves many revisions current. */
+  async compare(conditions: readonly Condition[]): Promise<CompareResult> {
+    const r = await this.#call("POST", storePaths.txn, compareBody(conditions));
+    if (r.kind === "answer" && r.status === 200) return { kind: "current" };
+    if (r.kind === "answer" && r.status === 409)
+      return { kind: "conflict", failed: parseFailed(r.body) };
+    return { kind: "unavailable" };
+  }
+
   async get(key: string): Promise<ReadResult> {
     const r = await this.#call("GET", storePaths.key(key), undefined);
     if (r.kind !== "answer") return { kind: "unavailable" };
--- a/src/storage/work.ts
+++ b/src/storage/work.ts
@@ -6,6 +6,7 @@
   type TaskId,
   taskId,
 } from "../protocol/ids.js";
+import { JobIndex } from "./job-index.js";
 import { parseWorkPage } from "./pages.js";
 import { type Accepted, type LiveJob, NO_PROGRESS, type Progress } from "./records.js";
 
@@ -41,6 +42,7 @@
  */
 export class ShareWork {
   readonly #jobs = new Map<JobId, LiveJob>();
+  readonly #index = new JobIndex();
   readonly #pages = new Map<string, Page>();
   readonly #pageOf = new Map<JobId, string>();
   readonly #openOn = new Map<MachineId, Map<TaskId, OpenOn>>();
@@ -55,6 +57,12 @@
     return this.#jobs;
   }
 
+  /** Views of these jobs that are kept up to date with each change. */
+  get index(): JobIndex {
+    this.#settle();
+    return this.#index;
+  }
+
   get pages(): ReadonlyMap<
     string,
     { readonly rev: Revision; readonly entries: ReadonlyMap<JobId, Progress> }
@@ -91,9 +99,12 @@
     if (this.#dirtyPages.size > 0) this.#readPages();
     if (this.#dirtyJobs.size === 0) return;
     for (const id of this.#dirtyJobs) {
-      const a = this.accepted(id);
-      if (a === undefined) this.#jobs.delete(id);
-      else this.#jobs.set(id, { ...a, ...this.#progress(id) });
+      const accepted = this.accepted(id);
+      const before = this.#jobs.get(id);
+      const after = accepted === undefined ? undefined : { ...accepted, ...this.#progress(id) };
+      if (after === undefined) this.#jobs.delete(id);
+      else this.#jobs.set(id, after);
+      this.#index.replace(id, before, after);
     }
     this.#dirtyJobs.clear();
   }
@@ -109,7 +120,7 @@
       for (const [id, was] of p.entries) {
         const is = next.get(id);
         if (is !== undefined && sameOpen(was, is)) continue;
-        this.#unindex(id, was);
+        this.#unindexAttempts(id, was);
         if (is === undefined && this.#pageOf.get(id) === key) this.#pageOf.delete(id);
         this.#dirtyJobs.add(id);
       }
@@ -123,7 +134,7 @@
     }
     for (const key of this.#dirtyPages)
       for (const id of this.#pages.get(key)?.entries.keys() ?? []) this.#pageOf.set(id, key);
-    for (const [id, p] of enter) this.#index(id, p);
+    for (const [id, p] of enter) this.#indexAttempts(id, p);
     this.#dirtyPages.clear();
   }
 
@@ -132,7 +143,7 @@
     return (key === undefined ? undefined : this.#pages.get(key)?.entries.get(id)) ?? NO_PROGRESS;
   }
 
-  #unindex(id: JobId, p: Progress): void {
+  #unindexAttempts(id: JobId, p: Progress): void {
     for (const o of p.open) {
       const on = this.#openOn.get(o.machine);
       const task = taskId(id, o.index);
@@ -143,7 +154,7 @@
     }
   }
 
-  #index(id: JobId, p: Progress): void {
+  #indexAttempts(id: JobId, p: Progress): void {
     for (const o of p.open) {
       let on = this.#openOn.get(o.machine);
       if (on === undefined) {
--- a/test/codecs.test.ts
+++ b/test/codecs.test.ts
@@ -186,8 +186,8 @@
     [0, 3, 4, 5, 8, 9, 10].map((x) => rangesHas(r, x)),
     [true, true, false, true, false, true, false],
   );
-  assert.deepEqual(rangesMissing(r, 12, new Set([6]), 3), [4, 7, 8]);
-  assert.deepEqual(rangesMissing([0, 11], 12, new Set(), 3), []);
+  assert.deepEqual([...rangesMissing(r, 12, new Set([6]))], [4, 7, 8, 10, 11]);
+  assert.deepEqual([...rangesMissing([0, 11], 12, new Set())], []);
 });
 
 const SETTINGS = `
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -13,9 +13,10 @@
   planFleet,
 } from "../src/scheduling/fleet.js";
 import { hurryS, slackS, targetsOf, windowS } from "../src/scheduling/objectives.js";
-import { owedJobs, queueOrder } from "../src/scheduling/order.js";
-import { choosePlace, type Place } from "../src/scheduling/placement.js";
-import { cheapestRoom, mayPreempt } from "../src/scheduling/preempt.js";
+import { queueOrder } from "../src/scheduling/order.js";
+import { type Place, PlaceSelector } from "../src/scheduling/placement.js";
+import { mayPreempt, PreemptionSearch } from "../src/scheduling/preemption.js";
+import { JobIndex } from "../src/storage/job-index.js";
 import { type LiveJob, newJob } from "../src/storage/records.js";
 
 const type = (name: string, cpus: number, price: number, spotPrice: number): MachineType => ({
@@ -204,7 +205,7 @@
   assert.ok(Math.abs(follow(0, 10, 15, 15, 60) - 10 * (1 - 1 / Math.E)) < 1e-9);
 });
 
-const grounds = [
+const candidates = [
   {
     id: machineId("m-1"),
     free: { cpus: 0, gpus: 0, ramGb: 8 },
@@ -231,7 +232,7 @@
 
 test("the cheapest room by preemption", () => {
   for (const [name, cpus, most, want] of rooms) {
-    const r = cheapestRoom({ cpus, gpus: 0, ramGb: 1 }, grounds, most);
+    const r = new PreemptionSearch({ cpus, gpus: 0, ramGb: 1 }, candidates, most).take();
     const got = r === null ? null : [r.machine, ...r.victims.map((v) => v.task).sort()].join(" ");
     assert.equal(got, want, name);
   }
@@ -244,16 +245,20 @@
   boolean,
 ][] = [
   ["a higher rank stops a lower", [1, false, "t"], [2, false, "u"], true],
-  ["but not what its team is owed", [1, false, "t"], [2, true, "u"], false],
-  ["unless it is owed itself", [1, true, "t"], [2, true, "u"], true],
+  ["but not work within a guarantee", [1, false, "t"], [2, true, "u"], false],
+  ["unless it is within one itself", [1, true, "t"], [2, true, "u"], true],
   ["equal rank does not", [1, false, "t"], [1, false, "u"], false],
   ["a guarantee is given from another team's excess", [2, true, "t"], [1, false, "u"], true],
-  ["not from what that team is owed itself", [2, true, "t"], [1, true, "u"], false],
+  ["not from work within that team's own guarantee", [2, true, "t"], [1, true, "u"], false],
   ["nor from the same team", [2, true, "t"], [1, false, "t"], false],
 ];
 
 test("who may stop whom", () => {
-  const side = ([rank, owed, team]: readonly [number, boolean, string]) => ({ rank, owed, team });
+  const side = ([rank, withinGuarantee, team]: readonly [number, boolean, string]) => ({
+    rank,
+    withinGuarantee,
+    team,
+  });
   for (const [name, by, v, ok] of may) assert.equal(mayPreempt(side(by), side(v)), ok, name);
 });
 
@@ -360,7 +365,7 @@
       teams: new Map([
         [teamName("t"), { name: teamName("t"), cpus: 0, gpus: 0, cpusMax: 1e6, gpusMax: 0 }],
       ]),
-      owed: new Set(),
+      withinGuarantee: new Set(),
       objectives: OBJECTIVES,
       runS: (j) => (j.spec.jobClass === "fast" ? 10 : 100),
       types: [SMALL, LARGE],
@@ -405,7 +410,7 @@
   };
   // The fullest first, as the paper has it, unless the task would be late there.
   const places = [place("full", 0.2, 6, []), place("quick", 1, 4, []), place("has", 0.2, 2, ["i"])];
-  const chosen = (hurry?: number) => choosePlace(spec, places, new Map(), hurry)?.id;
+  const chosen = (hurry?: number) => new PlaceSelector(spec, places).choose(new Map(), hurry)?.id;
   assert.equal(chosen(), "full");
   assert.equal(chosen(3), "quick");
   assert.equal(chosen(1), "has");
@@ -416,17 +421,19 @@
   const team = { name: teamName("t"), cpus: 32, gpus: 0, cpusMax: 96, gpusMax: 0 };
   const teams = new Map([[team.name, team]]);
   const jobs = [job("wk-3", 3), job("wk-1", 1, { tasks: 2 }), job("wk-2", 2, { tasks: 2 })];
-  assert.deepEqual([...owedJobs(jobs, teams)].sort(), ["wk-1", "wk-2"]);
+  const index = new JobIndex();
+  for (const [id, j] of jobs) index.replace(id, undefined, j);
+  assert.deepEqual([...index.withinGuarantee(teams.values())].sort(), ["wk-1", "wk-2"]);
 });
 
-test("the order of waiting jobs: overdue, owed, rank, slack, fewest left, age", () => {
-  const q = (j: ReturnType<typeof job>, ageS: number, owed = false) => ({
+test("the order of waiting jobs: overdue, within a guarantee, rank, slack, fewest left, age", () => {
+  const q = (j: ReturnType<typeof job>, ageS: number, withinGuarantee = false) => ({
     id: j[0],
     job: j[1],
     ageS,
     leadS: 0,
     runS: 30,
-    owed,
+    withinGuarantee,
   });
   const order = queueOrder(
     [
--- a/test/sim/stands.ts
+++ b/test/sim/stands.ts
@@ -130,9 +130,10 @@
   #txn(body: Body): Out {
     const conds = body.if as { path: string; mark: number }[];
     const failed = conds.filter((c) => (this.keys.get(c.path)?.mark ?? 0) !== c.mark);
-    this.writes += (body.apply as unknown[]).length;
+    this.writes += (body.apply as unknown[] | undefined)?.length ?? 0;
     if (failed.length > 0 && this.heedsConditions)
       return { status: 409, body: { failed: failed.map((c) => c.path), ledger: this.rev } };
+    if (body.apply === undefined) return { status: 200, body: { ledger: this.rev } };
     const ops = body.apply as { write?: string; v?: unknown; drop?: string; tenure?: number }[];
     if (ops.some((o) => o.tenure !== undefined && !this.#leases.has(o.tenure)))
       return { status: 400, body: { error: "no such lease" } };
--- /dev/null
+++ b/test/work-index.test.ts
@@ -0,0 +1,266 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { attemptNo, jobId, machineId, revision, teamName, wall } from "../src/protocol/ids.js";
+import type { JobSpec, Resources } from "../src/protocol/jobs.js";
+import {
+  type Place,
+  PlaceSelector,
+  permitted,
+  placementGroup,
+} from "../src/scheduling/placement.js";
+import { type PreemptionCandidate, PreemptionSearch } from "../src/scheduling/preemption.js";
+import { fits, fitsBeside, lesser, minus, plus } from "../src/scheduling/resources.js";
+import { pheromone } from "../src/scheduling/swarm.js";
+import { workPageValue } from "../src/storage/pages.js";
+import {
+  type Accepted,
+  type LiveJob,
+  type Progress,
+  waitingCount,
+} from "../src/storage/records.js";
+import { ShareWork } from "../src/storage/work.js";
+
+/** Indexes and searches that stand for passes over everything must decide as those passes do. */
+const TEAMS = [
+  { name: teamName("a"), cpus: 24, gpus: 0 },
+  { name: teamName("b"), cpus: 0, gpus: 0 },
+];
+const IMAGES = ["i", "j"];
+const ZONES = ["x", "y"];
+
+const dice = (seed: number) => {
+  const generator = xoroshiro128plus(seed);
+  const unit = (): number => uniformFloat64(generator);
+  const below = (n: number): number => Math.floor(unit() * n);
+  const pick = <T>(items: readonly T[]): T => items[below(items.length)] as T;
+  return { unit, below, pick };
+};
+type Dice = ReturnType<typeof dice>;
+
+const needsOf = (cpus: number): Resources => ({ cpus, gpus: 0, ramGb: cpus * 3 });
+
+const randomSpec = (d: Dice, id: string): JobSpec => ({
+  id: jobId(id),
+  jobClass: "c",
+  team: d.pick(TEAMS).name,
+  rank: d.pick(["high", "normal"] as const),
+  tasks: 1 + d.below(6),
+  needs: needsOf(d.pick([1, 2, 4])),
+  image: d.pick(IMAGES),
+  imageGb: d.pick([1, 4]),
+  types: d.pick([null, ["small"], ["large"]]),
+  zone: d.pick([null, null, "x"]),
+  oneZone: d.unit() < 0.3,
+  apart: d.unit() < 0.3,
+  spotAllowed: d.unit() < 0.7,
+  expectS: 10,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+});
+
+/** What the index replaced: passes over all live jobs of the shard. */
+const fullPass = (jobs: ReadonlyMap<string, LiveJob>) => {
+  const ordered = [...jobs].filter(([, j]) => j.cancelledAt === null);
+  ordered.sort(([, a], [, b]) => a.acceptedAt - b.acceptedAt);
+  const used = new Map<string, number>();
+  const within: string[] = [];
+  const use = new Map<string, number>();
+  for (const [id, j] of ordered) {
+    const { cpus } = TEAMS.find((t) => t.name === j.spec.team) ?? { cpus: 0 };
+    const sum = (used.get(j.spec.team) ?? 0) + j.spec.tasks * j.spec.needs.cpus;
+    used.set(j.spec.team, sum);
+    if (cpus > 0 && sum <= cpus) within.push(id);
+  }
+  for (const j of jobs.values())
+    if (j.open.length > 0)
+      use.set(j.spec.team, (use.get(j.spec.team) ?? 0) + j.open.length * j.spec.needs.cpus);
+  return {
+    waiting: [...jobs].filter(([, j]) => waitingCount(j) > 0).map(([id]) => id),
+    cancelled: [...jobs].filter(([, j]) => j.cancelledAt !== null).map(([id]) => id),
+    needs: [...new Set([...jobs.values()].map((j) => j.spec.needs.cpus))],
+    within,
+    use: [...use],
+  };
+};
+
+test("an index of a shard's jobs equals a pass over all of them, over random changes", () => {
+  for (let seed = 1; seed <= 8; seed++) {
+    const d = dice(seed);
+    const accepted = new Map<string, Accepted>();
+    const work = new ShareWork((id) => accepted.get(id));
+    const pages = [new Map<ReturnType<typeof jobId>, Progress>(), new Map()];
+    for (let step = 1; step <= 250; step++) {
+      const id = jobId(`wk-${d.below(25)}`);
+      const known = accepted.get(id);
+      const page = pages[d.below(2)] as Map<typeof id, Progress>;
+      if (known === undefined) {
+        const spec = randomSpec(d, id);
+        accepted.set(id, { spec, acceptedAt: wall(d.below(1e6) + step / 1000), cancelledAt: null });
+      } else if (d.unit() < 0.1) accepted.set(id, { ...known, cancelledAt: wall(step) });
+      else if (d.unit() < 0.15) {
+        accepted.delete(id);
+        for (const p of pages) p.delete(id);
+      } else {
+        // A job may move from one page to another with what it has open.
+        for (const p of pages) p.delete(id);
+        const open = Array.from({ length: d.below(known.spec.tasks + 1) }, (_, index) => ({
+          index,
+          attempt: attemptNo(step),
+          machine: machineId(`m-${d.below(4)}`),
+        }));
+        page.set(id, { done: [], open, nextAttempt: step });
+      }
+      work.jobChanged(id);
+      for (const [n, p] of pages.entries())
+        work.pageChanged(`now/work/0/${n}`, workPageValue(p), revision(step));
+      const { index, jobs } = work;
+      const expected = fullPass(jobs);
+      const got = {
+        waiting: [...index.waiting.keys()],
+        cancelled: [...index.cancelled.keys()],
+        needs: [...index.needs()].map((n) => n.cpus),
+        within: [...index.withinGuarantee(TEAMS)],
+        use: [...index.openUse()].map(([team, r]) => [team, r.cpus] as const),
+      };
+      for (const key of Object.keys(expected) as (keyof typeof expected)[])
+        assert.deepEqual([...got[key]].sort(), [...expected[key]].sort(), `${key} ${seed}/${step}`);
+      for (const [key, job] of index.waiting) assert.equal(job, jobs.get(key));
+    }
+  }
+});
+
+/** The same search over all machines, worked out anew for each task. */
+const bestPlace = (
+  spec: JobSpec,
+  places: readonly Place[],
+  zones: ReadonlyMap<string, number>,
+  hurryS: number,
+): Place | null => {
+  const standing = (p: Place): readonly number[] => {
+    const late = !p.images.has(spec.image) && spec.imageGb > hurryS * p.fetchGbPerS;
+    const after = pheromone(plus(p.use, spec.needs), p.capacity, lesser(p.least, spec.needs));
+    return [
+      p.contenders,
+      Number(late),
+      Number(p.dear),
+      after,
+      p.images.has(spec.image) ? 0 : 1,
+      p.price,
+    ];
+  };
+  const room = places.filter(
+    (p) => fitsBeside(spec.needs, p.use, p.capacity) && permitted(spec, p, zones),
+  );
+  const ranked = room.map((p, at) => ({ p, key: [...standing(p), at] }));
+  ranked.sort((a, b) => {
+    const at = a.key.findIndex((x, i) => Math.abs(x - (b.key[i] ?? 0)) > 1e-9);
+    return at < 0 ? 0 : (a.key[at] ?? 0) - (b.key[at] ?? 0);
+  });
+  return ranked[0]?.p ?? null;
+};
+
+test("selectors shared by like jobs choose as a search over all machines does", () => {
+  let placed = 0;
+  let bound = 0;
+  for (let seed = 1; seed <= 30; seed++) {
+    const d = dice(seed);
+    const places = Array.from({ length: 12 }, (_, i): Place => {
+      const large = d.unit() < 0.5;
+      return {
+        id: machineId(`m-${i}`),
+        type: large ? "large" : "small",
+        zone: d.pick(ZONES),
+        spot: d.unit() < 0.5,
+        capacity: needsOf(large ? 16 : 8),
+        use: needsOf(0),
+        least: needsOf(Number.POSITIVE_INFINITY),
+        price: d.pick([1, 2, 3]),
+        dear: d.unit() < 0.3,
+        fetchGbPerS: d.pick([0.2, 1]),
+        images: new Set(IMAGES.filter(() => d.unit() < 0.4)),
+        contenders: large ? 2 : 1,
+      };
+    });
+    const selectors = new Map<string, PlaceSelector>();
+    for (let n = 0; n < 25; n++) {
+      const spec = randomSpec(d, `wk-${n}`);
+      const key = placementGroup(spec);
+      const selector = selectors.get(key) ?? new PlaceSelector(spec, places);
+      selectors.set(key, selector);
+      const zones = new Map<string, number>();
+      const hurryS = d.pick([Number.POSITIVE_INFINITY, 8, 2]);
+      for (let task = 0; task < spec.tasks; task++) {
+        const place = selector.choose(zones, hurryS);
+        assert.equal(place?.id, bestPlace(spec, places, zones, hurryS)?.id, `${seed} ${n}/${task}`);
+        if (place === null) break;
+        placed++;
+        if (spec.oneZone || spec.apart) bound++;
+        place.use = plus(place.use, spec.needs);
+        place.least = lesser(place.least, spec.needs);
+        zones.set(place.zone, (zones.get(place.zone) ?? 0) + 1);
+      }
+    }
+  }
+  assert.ok(placed > 500 && bound > 50, `${placed} ${bound}`);
+});
+
+/** Room made by sorting all victims of all machines anew for each task. */
+const cheapestRoom = (needs: Resources, candidates: PreemptionCandidate[], mostS: number) => {
+  let best: { at: number; victims: PreemptionCandidate["victims"]; lossS: number } | null = null;
+  for (const [at, c] of candidates.entries()) {
+    let free = c.free;
+    let chosen: PreemptionCandidate["victims"][number][] = [];
+    for (const v of [...c.victims].sort((a, b) => a.lossS - b.lossS)) {
+      if (fits(needs, free)) break;
+      free = plus(free, v.needs);
+      chosen.push(v);
+    }
+    if (!fits(needs, free)) continue;
+    for (const v of [...chosen].sort((a, b) => b.lossS - a.lossS)) {
+      if (!fits(needs, minus(free, v.needs))) continue;
+      free = minus(free, v.needs);
+      chosen = chosen.filter((x) => x !== v);
+    }
+    const lossS = chosen.reduce((sum, v) => sum + v.lossS, 0);
+    if (lossS <= mostS && lossS < (best?.lossS ?? Number.POSITIVE_INFINITY))
+      best = { at, victims: chosen, lossS };
+  }
+  return best;
+};
+
+test("room made by preemption is what sorting all victims anew gives", () => {
+  for (let seed = 1; seed <= 40; seed++) {
+    const d = dice(seed);
+    const needs = needsOf(d.pick([1, 2, 4]));
+    const candidates = Array.from(
+      { length: 6 },
+      (_, m): PreemptionCandidate => ({
+        id: machineId(`m-${m}`),
+        free: needsOf(d.below(3)),
+        victims: Array.from({ length: d.below(6) }, (_x, v) => ({
+          task: `wk-${m}/${v}` as never,
+          needs: needsOf(d.pick([1, 2, 4])),
+          lossS: d.unit() * 20,
+        })),
+      }),
+    );
+    const search = new PreemptionSearch(needs, candidates, 25);
+    for (;;) {
+      const want = cheapestRoom(needs, candidates, 25);
+      const got = search.take();
+      assert.equal(got?.machine, want === null ? undefined : candidates[want.at]?.id);
+      if (want === null) break;
+      assert.deepEqual(
+        got?.victims.map((v) => v.task),
+        want.victims.map((v) => v.task),
+      );
+      const c = candidates[want.at] as PreemptionCandidate;
+      const freed = want.victims.reduce((sum, v) => plus(sum, v.needs), c.free);
+      const victims = c.victims.filter((v) => !want.victims.includes(v));
+      candidates[want.at] = { id: c.id, free: minus(freed, needs), victims };
+    }
+  }
+});
