Accepts and cancels share transactions; leader.ts split along its seams

GroupCommit: what comes while two transactions are in flight goes in the next; a conflict or lost answer of one is no other's (test/group-commit.test.ts). coordination/fleet/ holds the leader's cloud calls, records, machine types, rentals, returns, unknown machines, requests to owners, failing jobs and planner, moved as they were; leader.ts puts them together.

--- /dev/null
+++ b/src/coordination/fleet/machine-types.ts
@@ -0,0 +1,44 @@
+import { type MachineType, parseTypes } from "../../protocol/cloud.js";
+import { type Mono, mono } from "../../protocol/ids.js";
+import type { Context } from "../../service/context.js";
+import { keys, typesValue } from "../../storage/records.js";
+import { steadyNow } from "../../transport/clock.js";
+import type { Cloud } from "./cloud.js";
+import type { FleetRecords } from "./records.js";
+
+const READ_EVERY_MS = 60_000;
+
+/** The machine types on offer: read from the cloud by the leader, and known to all by a record. */
+export class MachineTypes {
+  #readAt: Mono = mono(Number.NEGATIVE_INFINITY);
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly records: FleetRecords,
+    private readonly cloud: Cloud,
+  ) {}
+
+  all(): readonly MachineType[] {
+    return this.ctx.replica.types?.value ?? [];
+  }
+
+  find(name: string): MachineType | undefined {
+    return this.all().find((t) => t.name === name);
+  }
+
+  async refresh(): Promise<void> {
+    const { replica } = this.ctx;
+    const now = steadyNow();
+    if (replica.types !== undefined && now - this.#readAt < READ_EVERY_MS) return;
+    const answer = await this.cloud.call("GET", "/flavors");
+    const types = answer?.status === 200 ? parseTypes(answer.body) : undefined;
+    if (types === undefined || types.length === 0) return;
+    this.#readAt = now;
+    const value = typesValue(types);
+    if (JSON.stringify(value) === JSON.stringify(typesValue(this.all()))) return;
+    await this.records.write({
+      conditions: [{ key: keys.types, rev: replica.rev(keys.types) }],
+      ops: [{ kind: "put", key: keys.types, value }],
+    });
+  }
+}
--- /dev/null
+++ b/src/coordination/fleet/owner-requests.ts
@@ -0,0 +1,75 @@
+import type { ControllerLabel, MachineId } from "../../protocol/ids.js";
+import { encodePeer, type MoveRequest, NO_WORD } from "../../protocol/peer.js";
+import { addressOf, type Context } from "../../service/context.js";
+import type { Calls } from "../../transport/client.js";
+import type { Holder } from "../holder.js";
+import type { Membership } from "../membership.js";
+
+const PEER_MS = 1000;
+
+interface Requests {
+  readonly moves: MoveRequest[];
+  readonly retire: MachineId[];
+}
+
+/**
+ * What the leader wants of the shards' owners: an owner alone knows that a machine of its is free,
+ * so it is the owner that moves or retires it.
+ */
+export class OwnerRequests {
+  readonly counters = { moved: 0, vacated: 0 };
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly membership: Membership,
+    private readonly holder: Holder,
+    private readonly peers: Calls,
+  ) {}
+
+  move(moves: readonly MoveRequest[], surplus: readonly MachineId[] = []): void {
+    for (const m of moves) this.counters[m.vacate ? "vacated" : "moved"]++;
+    this.#send(moves, surplus, "");
+  }
+
+  /** Machines that are lost go at once, whatever stands on them. */
+  retire(lost: readonly MachineId[], reason: string): void {
+    if (lost.length > 0) this.#send([], lost, reason);
+  }
+
+  #send(moves: readonly MoveRequest[], retire: readonly MachineId[], reason: string): void {
+    for (const [owner, requests] of this.#byOwner(moves, retire))
+      if (owner === this.ctx.me.label) this.#own(requests, reason);
+      else this.#tell(owner, requests, reason);
+  }
+
+  #byOwner(
+    moves: readonly MoveRequest[],
+    retire: readonly MachineId[],
+  ): ReadonlyMap<ControllerLabel, Requests> {
+    const out = new Map<ControllerLabel, Requests>();
+    const requestsFor = (id: MachineId): Requests | undefined => {
+      const shard = this.ctx.replica.machines.get(id)?.share;
+      const owner = shard === undefined ? undefined : this.membership.holderOf(shard)?.label;
+      if (owner === undefined) return undefined;
+      const requests = out.get(owner) ?? { moves: [], retire: [] };
+      out.set(owner, requests);
+      return requests;
+    };
+    for (const m of moves) requestsFor(m.machine)?.moves.push(m);
+    for (const id of retire) requestsFor(id)?.retire.push(id);
+    return out;
+  }
+
+  #own({ moves, retire }: Requests, reason: string): void {
+    for (const m of moves) this.holder.requestMove(m);
+    for (const id of retire) this.holder.requestRetire(id, reason);
+  }
+
+  #tell(owner: ControllerLabel, requests: Requests, reason: string): void {
+    const { settings, me } = this.ctx;
+    const address = addressOf(settings, owner);
+    if (address === undefined) return;
+    const payload = encodePeer({ ...NO_WORD, from: me.label, ...requests, reason });
+    void this.peers.raw(address, "POST", "/peer", payload, PEER_MS);
+  }
+}
--- /dev/null
+++ b/src/coordination/fleet/records.ts
@@ -0,0 +1,108 @@
+import { ABSENT, type MachineId, type ShareNo } from "../../protocol/ids.js";
+import type { Condition, Op, Txn } from "../../protocol/store.js";
+import { absorb, type Context, refresh } from "../../service/context.js";
+import { fleetPageValue, MACHINE_BYTES } from "../../storage/pages.js";
+import { keys, type MachineRecord } from "../../storage/records.js";
+import { pageLimit } from "../batch.js";
+import type { Membership } from "../membership.js";
+
+/** Machines returned lately, whose late reports must not have them adopted again. */
+const RETURNED_KEPT = 10_000;
+
+export type NewMachine = Omit<MachineRecord, "floor">;
+
+/**
+ * The records that only the leader writes. Each write is conditional on its leadership, so that one
+ * of a deposed leader fails however late it is carried out.
+ */
+export class FleetRecords {
+  readonly #returned = new Set<MachineId>();
+  /** Machines whose records are being written. */
+  readonly #entering = new Set<MachineId>();
+  #names = 0;
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly membership: Membership,
+  ) {}
+
+  /** Whether this controller leads, and knows the records. */
+  get writable(): boolean {
+    return this.ctx.synced && this.membership.mayLead();
+  }
+
+  /** True if it was applied; else what stood in the way is known by now. */
+  async write(t: Txn): Promise<boolean> {
+    const { ctx } = this;
+    const lead = ctx.replica.leader;
+    if (lead === undefined || !this.membership.mayLead()) return false;
+    const conditions = [...t.conditions, { key: keys.leader, rev: lead.rev }];
+    const r = await ctx.store.settle({ ...t, conditions }, () => ctx.stopping);
+    if (r.kind === "applied") {
+      absorb(ctx.replica, t.ops, r.rev);
+      return true;
+    }
+    await refresh(
+      ctx,
+      conditions.map((c) => c.key),
+    );
+    return false;
+  }
+
+  /** Named by this term of leadership: no two terms share a revision, no term a number. */
+  nextName(): string {
+    return `${this.ctx.replica.leader?.rev}-${++this.#names}`;
+  }
+
+  /** In the records, or on its way there: a machine must not stand in two pages. */
+  known(id: MachineId): boolean {
+    return this.ctx.replica.machines.has(id) || this.#entering.has(id);
+  }
+
+  /** Returned by this controller, or by the word of any leader. */
+  returned(id: MachineId): boolean {
+    return this.#returned.has(id) || this.ctx.replica.isGone(id);
+  }
+
+  noteReturned(ids: readonly MachineId[]): void {
+    for (const id of ids) this.#returned.add(id);
+    for (const id of this.#returned) {
+      if (this.#returned.size <= RETURNED_KEPT) break;
+      this.#returned.delete(id);
+    }
+  }
+
+  /** Writes new machines, a page for each shard: few writes however many they are. */
+  async enter(
+    rows: readonly (readonly [MachineId, NewMachine])[],
+    conditions: readonly Condition[],
+    ops: readonly Op[],
+  ): Promise<boolean> {
+    for (const [id] of rows) this.#entering.add(id);
+    const puts = this.#pages(rows);
+    const absent = puts.map((p) => ({ key: p.key, rev: ABSENT }));
+    try {
+      return await this.write({ conditions: [...conditions, ...absent], ops: [...puts, ...ops] });
+    } finally {
+      for (const [id] of rows) this.#entering.delete(id);
+    }
+  }
+
+  #pages(rows: readonly (readonly [MachineId, NewMachine])[]): readonly Op[] {
+    const { replica, settings } = this.ctx;
+    const byShard = new Map<ShareNo, [MachineId, MachineRecord][]>();
+    for (const [id, machine] of rows) {
+      const page = byShard.get(machine.share) ?? [];
+      byShard.set(machine.share, page);
+      page.push([id, { ...machine, floor: replica.latest }]);
+    }
+    const most = Math.floor(pageLimit({ ...settings.state, size: settings.size }) / MACHINE_BYTES);
+    const puts: Op[] = [];
+    for (const [share, machines] of byShard)
+      for (let i = 0; i < machines.length; i += most) {
+        const value = fleetPageValue(machines.slice(i, i + most));
+        puts.push({ kind: "put", key: keys.fleet(share, this.nextName()), value });
+      }
+    return puts;
+  }
+}
--- /dev/null
+++ b/src/coordination/fleet/rentals.ts
@@ -0,0 +1,128 @@
+import { MAX_RENT, parseRented, rentBody } from "../../protocol/cloud.js";
+import {
+  ABSENT,
+  type MachineId,
+  type Mono,
+  mono,
+  type Revision,
+  shareNo,
+} from "../../protocol/ids.js";
+import { offerKey, type Rent } from "../../scheduling/fleet.js";
+import type { Context } from "../../service/context.js";
+import { type HireRecord, hireValue, keys } from "../../storage/records.js";
+import type { Versioned } from "../../storage/replica.js";
+import { steadyNow, timeOfDay } from "../../transport/clock.js";
+import type { Cloud, CloudAnswer } from "./cloud.js";
+import type { FleetRecords } from "./records.js";
+
+/** Most intents written at a time. */
+const MOST_INTENTS = 8;
+
+/**
+ * Renting. An intent is written before the cloud is called, so that any later leader carries it out
+ * under the same name, which the cloud answers the same way however often it is asked.
+ */
+export class Rentals {
+  readonly #refusedUntil = new Map<string, Mono>();
+  /** Intents whose calls are under way. */
+  readonly #calling = new Set<string>();
+  readonly counters = { rented: 0, refused: 0 };
+
+  constructor(
+    private readonly ctx: Context,
+    private readonly records: FleetRecords,
+    private readonly cloud: Cloud,
+  ) {}
+
+  /** Offers refused of late, and not asked for again yet. */
+  refusedOffers(now: Mono): ReadonlySet<string> {
+    for (const [key, until] of this.#refusedUntil) if (until <= now) this.#refusedUntil.delete(key);
+    return new Set(this.#refusedUntil.keys());
+  }
+
+  /** Writes the intents to rent; they are carried out at once, and by any later leader. */
+  async intend(rents: readonly Rent[]): Promise<void> {
+    const { replica, settings, log } = this.ctx;
+    if (rents.length === 0 || replica.hires.size > 0) return;
+    const most = Math.min(settings.state.txnOps, MOST_INTENTS);
+    const intents = rents
+      .flatMap(inCalls)
+      .slice(0, most)
+      .map((rent) => ({ key: keys.hire(this.records.nextName()), rent }));
+    const written = await this.records.write({
+      conditions: intents.map(({ key }) => ({ key, rev: ABSENT })),
+      ops: intents.map(({ key, rent }) => ({
+        kind: "put",
+        key,
+        value: hireValue({ ...rent, at: timeOfDay() }),
+      })),
+    });
+    if (written) log.debug("rental intents written", { intents: intents.length });
+  }
+
+  /** Carries out written intents. A name is repeated until it has an answer, and never reused. */
+  async carryOut(): Promise<void> {
+    const open = [...this.ctx.replica.hires].filter(([name]) => !this.#calling.has(name));
+    await Promise.all(open.map(([name, intent]) => this.#carryOutOne(name, intent)));
+  }
+
+  async #carryOutOne(name: string, intent: Versioned<HireRecord>): Promise<void> {
+    this.#calling.add(name);
+    try {
+      const { value } = intent;
+      const body = rentBody({ name, ...value, count: value.shares.length });
+      const answer = await this.cloud.call("POST", "/machines", body);
+      if (answer !== undefined) await this.#answered(keys.hire(name), intent, answer);
+    } finally {
+      this.#calling.delete(name);
+    }
+  }
+
+  async #answered(key: string, intent: Versioned<HireRecord>, answer: CloudAnswer): Promise<void> {
+    const { value, rev } = intent;
+    if (answer.status === 200) {
+      await this.#rented(key, rev, value, parseRented(answer.body) ?? []);
+      return;
+    }
+    const noCapacity =
+      answer.status === 503 && String(JSON.stringify(answer.body)).includes("no capacity");
+    if (!noCapacity && answer.status !== 400) return;
+    this.#refuse(value);
+    const ops = [{ kind: "delete", key }] as const;
+    await this.records.write({ conditions: [{ key, rev }], ops });
+  }
+
+  #refuse(offer: { readonly type: string; readonly zone: string; readonly spot: boolean }): void {
+    this.counters.refused++;
+    const until = mono(steadyNow() + this.ctx.operators.refusedPauseS * 1000);
+    this.#refusedUntil.set(offerKey(offer.type, offer.zone, offer.spot), until);
+  }
+
+  async #rented(
+    key: string,
+    rev: Revision,
+    intent: HireRecord,
+    ids: readonly MachineId[],
+  ): Promise<void> {
+    this.counters.rented += ids.length;
+    if (ids.length < intent.shares.length) this.#refuse(intent);
+    const { type, zone, spot } = intent;
+    const row = { type, zone, spot, endpoint: "", stage: "up", rentedAt: timeOfDay() } as const;
+    // An intent that was written late, after it had been carried out and dropped, has the same
+    // answer as then: what was returned since must not come back.
+    const fresh = ids.flatMap((id, i) =>
+      this.records.known(id) || this.records.returned(id)
+        ? []
+        : [[id, { ...row, share: intent.shares[i] ?? shareNo(0) }] as const],
+    );
+    await this.records.enter(fresh, [{ key, rev }], [{ kind: "delete", key }]);
+  }
+}
+
+/** One call of the cloud rents a bounded number of machines. */
+const inCalls = (rent: Rent): readonly Rent[] => {
+  const parts: Rent[] = [];
+  for (let i = 0; i < rent.shares.length; i += MAX_RENT)
+    parts.push({ ...rent, shares: rent.shares.slice(i, i + MAX_RENT) });
+  return parts;
+};
