--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from "node:fs";
 import { Command } from "commander";
 import * as Effect from "effect/Effect";
-import { makeLogger, parseLevel } from "../service/log.js";
+import { makeLogger, parseLevel } from "../observability/log.js";
 import { defaultOperators, type Operators, parseOperators } from "./operators.js";
 import { type Checked, parseSettings, type Settings } from "./settings.js";
 
--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -39,7 +39,7 @@
   readonly fallback: number;
 }
 
-const knob = (
+const setting = (
   section: string,
   name: string,
   key: keyof Operators,
@@ -49,31 +49,31 @@
 ): Knob => ({ section, name, key, least, most, fallback });
 
 export const KNOBS: readonly Knob[] = [
-  knob("membership", "lease_ms", "memberLeaseMs", 500, 600_000, 4000),
-  knob("membership", "hand_back_s", "handBackS", 0, 86_400, 6),
-  knob("state", "watch_pause_ms", "watchPauseMs", 0, 10_000, 100),
-  knob("rounds", "period_ms", "roundMs", 10, 10_000, 250),
-  knob("machines", "silence_s", "silenceS", 1, 86_400, 6.5),
-  knob("swarm", "period_s", "swarmPeriodS", 0.1, 86_400, 5),
-  knob("swarm", "moves_per_round", "swarmMoves", 0, 10_000, 2),
-  knob("swarm", "part_per_round", "swarmPart", 0, 1, 0.05),
-  knob("swarm", "max_loss_s", "swarmMaxLossS", 0, 86_400, 4),
-  knob("fleet", "period_ms", "fleetPeriodMs", 50, 60_000, 1000),
-  knob("fleet", "idle_return_s", "idleReturnS", 0, 86_400, 25),
-  knob("fleet", "headroom", "headroom", 0, 10, 0.3),
-  knob("fleet", "margin", "margin", 0.1, 100, 1.15),
-  knob("fleet", "patience", "patience", 0, 1, 0.2),
-  knob("fleet", "last_patience", "lastPatience", 0, 1, 0.35),
-  knob("fleet", "rise_s", "riseS", 0, 86_400, 15),
-  knob("fleet", "fall_s", "fallS", 0, 86_400, 60),
-  knob("order", "overdue_s", "overdueS", 1, 86_400, 120),
-  knob("preemption", "slack_s", "preemptSlackS", 0, 86_400, 8),
-  knob("preemption", "spare_slack_s", "spareSlackS", 0, 86_400, 120),
-  knob("preemption", "max_loss_s", "preemptMaxLossS", 0, 86_400, 600),
-  knob("fleet", "life_s", "lifeS", 1, 86_400, 300),
-  knob("fleet", "refused_pause_s", "refusedPauseS", 0, 86_400, 20),
-  knob("fleet", "boot_patience", "bootPatience", 1, 100, 3),
-  knob("logs", "stats_period_s", "statsPeriodS", 1, 86_400, 30),
+  setting("membership", "lease_ms", "memberLeaseMs", 500, 600_000, 4000),
+  setting("membership", "hand_back_s", "handBackS", 0, 86_400, 6),
+  setting("state", "watch_pause_ms", "watchPauseMs", 0, 10_000, 100),
+  setting("rounds", "period_ms", "roundMs", 10, 10_000, 250),
+  setting("machines", "silence_s", "silenceS", 1, 86_400, 6.5),
+  setting("swarm", "period_s", "swarmPeriodS", 0.1, 86_400, 5),
+  setting("swarm", "moves_per_round", "swarmMoves", 0, 10_000, 2),
+  setting("swarm", "part_per_round", "swarmPart", 0, 1, 0.05),
+  setting("swarm", "max_loss_s", "swarmMaxLossS", 0, 86_400, 4),
+  setting("fleet", "period_ms", "fleetPeriodMs", 50, 60_000, 1000),
+  setting("fleet", "idle_return_s", "idleReturnS", 0, 86_400, 25),
+  setting("fleet", "headroom", "headroom", 0, 10, 0.3),
+  setting("fleet", "margin", "margin", 0.1, 100, 1.15),
+  setting("fleet", "patience", "patience", 0, 1, 0.2),
+  setting("fleet", "last_patience", "lastPatience", 0, 1, 0.35),
+  setting("fleet", "rise_s", "riseS", 0, 86_400, 15),
+  setting("fleet", "fall_s", "fallS", 0, 86_400, 60),
+  setting("order", "overdue_s", "overdueS", 1, 86_400, 120),
+  setting("preemption", "slack_s", "preemptSlackS", 0, 86_400, 8),
+  setting("preemption", "spare_slack_s", "spareSlackS", 0, 86_400, 120),
+  setting("preemption", "max_loss_s", "preemptMaxLossS", 0, 86_400, 600),
+  setting("fleet", "life_s", "lifeS", 1, 86_400, 300),
+  setting("fleet", "refused_pause_s", "refusedPauseS", 0, 86_400, 20),
+  setting("fleet", "boot_patience", "bootPatience", 1, 100, 3),
+  setting("logs", "stats_period_s", "statsPeriodS", 1, 86_400, 30),
 ];
 
 export const defaultOperators = (): Operators =>
--- a/src/cli/reader.ts
+++ b/src/cli/reader.ts
@@ -90,7 +90,7 @@
     return [];
   }
 
-  /** A misspelt knob must not pass for a set one. */
+  /** A misspelt setting must not pass for a set one. */
   only(names: readonly string[]): void {
     for (const name of Object.keys(this.source))
       if (!names.includes(name)) this.faults.push(`${this.#at(name)}: is not a known setting`);
--- a/src/coordination/batch.ts
+++ b/src/coordination/batch.ts
@@ -3,7 +3,7 @@
   type JobId,
   type MachineId,
   type Revision,
-  type ShareNo,
+  type ShardId,
 } from "../protocol/ids.js";
 import { CONDITIONS_PER_OP, type Condition, type Op, type Txn } from "../protocol/store.js";
 import { fleetPageValue, MACHINE_BYTES, progressBytes, workPageValue } from "../storage/pages.js";
@@ -25,7 +25,7 @@
 const PAGES_PER_TXN = 4;
 
 interface WorkPage {
-  readonly share: ShareNo;
+  readonly shard: ShardId;
   readonly rev: Revision;
   readonly entries: Map<JobId, Progress>;
   bytes: number;
@@ -74,6 +74,11 @@
     return this.#ops;
   }
 
+  /** The most changes that a transaction takes. */
+  get mostOps(): number {
+    return this.limits.txnOps;
+  }
+
   #admits(ops: number, bytes: number, conditions: number): boolean {
     const { txnOps, size } = this.limits;
     return (
@@ -87,23 +92,23 @@
     this.#conditions.set(key, rev);
   }
 
-  /** The share must still be held when this is applied. */
-  #guard(share: ShareNo): void {
-    this.#require(keys.share(share), this.replica.rev(keys.share(share)));
+  /** The shard must still be held when this is applied. */
+  #guard(shard: ShardId): void {
+    this.#require(keys.shard(shard), this.replica.rev(keys.shard(shard)));
   }
 
-  #untouched(share: ShareNo, key: string): WorkPage {
-    const page = this.replica.work(share).pages.get(key);
+  #untouched(shard: ShardId, key: string): WorkPage {
+    const page = this.replica.work(shard).pages.get(key);
     const entries = new Map(page?.entries ?? []);
     let bytes = PAGE_BYTES;
     for (const p of entries.values()) bytes += progressBytes(p);
-    return { share, rev: page?.rev ?? ABSENT, entries, bytes };
+    return { shard, rev: page?.rev ?? ABSENT, entries, bytes };
   }
 
-  #page(share: ShareNo, key: string): { readonly page: WorkPage; readonly fresh: boolean } {
+  #page(shard: ShardId, key: string): { readonly page: WorkPage; readonly fresh: boolean } {
     const page = this.#work.get(key);
     return page === undefined
-      ? { page: this.#untouched(share, key), fresh: true }
+      ? { page: this.#untouched(shard, key), fresh: true }
       : { page, fresh: false };
   }
 
@@ -113,7 +118,7 @@
     this.#ops++;
     this.#bytes += page.bytes;
     this.#require(key, page.rev);
-    this.#guard(page.share);
+    this.#guard(page.shard);
   }
 
   #set(page: WorkPage, id: JobId, p: Progress | null): void {
@@ -126,25 +131,25 @@
     else page.entries.set(id, p);
   }
 
-  /** A page of the share with room: one that is written anyway, else the first, else a new one. */
-  #roomy(share: ShareNo, bytes: number, not: string | undefined): string {
+  /** A page of the shard with room: one that is written anyway, else the first, else a new one. */
+  #roomy(shard: ShardId, bytes: number, not: string | undefined): string {
     const limit = pageLimit(this.limits);
     for (const [key, page] of this.#work)
-      if (page.share === share && key !== not && page.bytes + bytes <= limit) return key;
-    const { pages } = this.replica.work(share);
+      if (page.shard === shard && key !== not && page.bytes + bytes <= limit) return key;
+    const { pages } = this.replica.work(shard);
     for (let n = 0; ; n++) {
-      const key = keys.work(share, n);
+      const key = keys.work(shard, n);
       if (key === not || this.#work.has(key)) continue;
-      if (!pages.has(key) || this.#untouched(share, key).bytes + bytes <= limit) return key;
+      if (!pages.has(key) || this.#untouched(shard, key).bytes + bytes <= limit) return key;
     }
   }
 
   /** Writes a job's progress, or with null takes it out. False if it has to wait. */
-  putJob(share: ShareNo, id: JobId, p: Progress | null): boolean {
+  putJob(shard: ShardId, id: JobId, p: Progress | null): boolean {
     const bytes = p === null ? 0 : progressBytes(p);
-    const at = this.#homes.get(id) ?? this.replica.work(share).pageOf(id);
+    const at = this.#homes.get(id) ?? this.replica.work(shard).pageOf(id);
     if (at === undefined && p === null) return true;
-    const home = at === undefined ? undefined : this.#page(share, at);
+    const home = at === undefined ? undefined : this.#page(shard, at);
     if (at !== undefined && home !== undefined) {
       const old = home.page.entries.get(id);
       const after = home.page.bytes + bytes - (old === undefined ? 0 : progressBytes(old));
@@ -156,8 +161,8 @@
         return true;
       }
     }
-    const to = this.#roomy(share, bytes, at);
-    const next = this.#page(share, to);
+    const to = this.#roomy(shard, bytes, at);
+    const next = this.#page(shard, to);
     const ops = (next.fresh ? 1 : 0) + (home?.fresh === true ? 1 : 0);
     const more =
       bytes + (next.fresh ? next.page.bytes : 0) + (home?.fresh === true ? home.page.bytes : 0);
@@ -183,16 +188,16 @@
   }
 
   /** Ends a job: its final record is written once, in the same transaction that drops the rest. */
-  finish(share: ShareNo, id: JobId, rev: Revision, final: FinalJob): boolean {
+  finish(shard: ShardId, id: JobId, rev: Revision, final: FinalJob): boolean {
     if (!this.#admits(3, FINAL_BYTES, 4)) return false;
-    if (!this.putJob(share, id, null)) return false;
+    if (!this.putJob(shard, id, null)) return false;
     this.pressing = true;
     this.#finals.set(id, final);
     this.#ops += 2;
     this.#bytes += FINAL_BYTES;
     this.#require(keys.live(id), rev);
     this.#require(keys.final(id), ABSENT);
-    this.#guard(share);
+    this.#guard(shard);
     return true;
   }
 
@@ -210,7 +215,7 @@
     this.#ops++;
     this.#bytes += bytes;
     this.#require(key, page.rev);
-    this.#guard(page.share);
+    this.#guard(page.shard);
     return machines;
   }
 
--- a/src/coordination/cancels.ts
+++ b/src/coordination/cancels.ts
@@ -8,31 +8,31 @@
   type TaskId,
   taskId,
 } from "../protocol/ids.js";
-import { type CancelWord, encodePeer, NO_WORD } from "../protocol/peer.js";
+import { type CancelNotice, EMPTY_MESSAGE, encodePeer } from "../protocol/peer.js";
 import { ordersBody, parseReport, type Report } from "../protocol/workers.js";
-import { addressOf, type Context } from "../service/context.js";
 import { keys, liveValue, type OpenAttempt } from "../storage/records.js";
 import type { Calls } from "../transport/client.js";
 import { sleep, steadyNow, timeOfDay } from "../transport/clock.js";
-import type { Holder } from "./holder.js";
+import { addressOf, type Context } from "./context.js";
 import type { Membership } from "./membership.js";
 import { findAttempt } from "./session.js";
+import type { ShardOwner } from "./shard-owner.js";
 
-/** How long a confirmation may wait for the watch and for the holder; then the user asks again. */
+/** How long a confirmation may wait for the watch and for the owner; then the user asks again. */
 const CONFIRM_MS = 900;
 const POSITION_MS = 20;
-const WORD_MS = 600;
-/** Words in one message; more go into the next. */
-const WORDS_A_MESSAGE = 500;
-/** Confirmations remembered, so that a later question about the job need not ask the holder again. */
+const NOTICE_MS = 600;
+/** PeerAnswers in one message; more go into the next. */
+const NOTICES_A_MESSAGE = 500;
+/** Confirmations remembered, so that a later question about the job need not ask the owner again. */
 const TOLD_KEPT = 20_000;
 /** A machine that still holds a cancelled task is called again after this long. */
 const AGAIN_MS = 1000;
 const CALL_MS = 1200;
 const CLOUD_MS = 5000;
-/** Machines of another holder asked at a time. */
+/** Machines of another owner asked at a time. */
 const MOST_ASKED = 16;
-/** While another holder answers for its cancelled tasks it is not asked about the job again. */
+/** While another owner answers for its cancelled tasks it is not asked about the job again. */
 const ANSWERS_MS = 3000;
 /**
  * Parts of `cancel_s`. From the first on a machine on which a cancelled task isn't proved gone is to
@@ -40,14 +40,14 @@
  * neither a record nor a leader. While nothing can be written there is no use in waiting for that.
  */
 const RETIRE_PART = 0.4;
-const TAKE_AWAY_PART = 0.65;
-/** From this part on the other controllers look after tasks whose holder doesn't answer. */
+const FORCE_RETURN_PART = 0.65;
+/** From this part on the other controllers look after tasks whose owner doesn't answer. */
 const OTHERS_PART = 0.5;
 /** A machine taken over lately has this long to show what it holds, unless time runs out. */
 const SHOW_MS = 4000;
 const LAST_PART = 0.85;
 
-export type CancelStep = "rest" | "stop" | "retire" | "take_away";
+export type CancelStep = "rest" | "stop" | "retire" | "force_return";
 
 export interface CancelView {
   /** It is proved that the task is not on the machine and can't start there any more. */
@@ -65,24 +65,24 @@
   if (v.gone) return "rest";
   const part = v.ageMs / v.cancelMs;
   if (part < RETIRE_PART) return "stop";
-  // The holder before may have ended all of it; the machine tells as soon as it is asked.
+  // The owner before may have ended all of it; the machine tells as soon as it is asked.
   const hurry = part >= LAST_PART && part < 1;
   if (v.unshownMs !== null && v.unshownMs < SHOW_MS && !hurry) return "stop";
-  return v.failing || part >= TAKE_AWAY_PART ? "take_away" : "retire";
+  return v.failing || part >= FORCE_RETURN_PART ? "force_return" : "retire";
 };
 
-/** Words on their way to one other controller: one message at a time, all that waits in the next. */
+/** PeerAnswers on their way to one other controller: one message at a time, all that waits in the next. */
 interface Outbox {
   readonly waiting: Map<
     JobId,
-    { readonly word: CancelWord; readonly done: ((ok: boolean) => void)[] }
+    { readonly notice: CancelNotice; readonly done: ((ok: boolean) => void)[] }
   >;
   sending: boolean;
 }
 
 /**
  * Cancellations, from the record to the proof that nothing of the job is left. A user is told
- * `cancelled` once the controller that answers the workers of the job's share has acknowledged it,
+ * `cancelled` once the controller that answers the workers of the job's shard has acknowledged it,
  * or is this one: then it is held to whether or not the state service can be reached afterwards.
  * (One that was refused alone never heard of them, and renewed its workers' leases through the
  * outage that followed.)
@@ -92,17 +92,23 @@
   readonly #asking = new Map<JobId, Promise<boolean>>();
   readonly #outboxes = new Map<ControllerLabel, Outbox>();
   /** Machines that a call of ours returned. Their records follow by the ordinary way. */
-  readonly #takenAway = new Set<MachineId>();
+  readonly #forceReturned = new Set<MachineId>();
   #taking = false;
   #seeing = false;
-  /** When a holder last answered for a job's tasks. */
+  /** When a owner last answered for a job's tasks. */
   readonly #answeredFor = new Map<JobId, Mono>();
-  readonly counters = { confirmed: 0, unconfirmed: 0, words: 0, takenAway: 0, stoppedForOthers: 0 };
+  readonly counters = {
+    confirmed: 0,
+    unconfirmed: 0,
+    notices: 0,
+    forceReturned: 0,
+    stoppedForOthers: 0,
+  };
 
   constructor(
     private readonly ctx: Context,
     private readonly membership: Membership,
-    private readonly holder: Holder,
+    private readonly owner: ShardOwner,
     private readonly cloud: Calls,
     private readonly peers: Calls,
     private readonly workers: Calls,
@@ -114,32 +120,34 @@
    * Whether a user may be told that the job is cancelled, as its record at `rev` says. False: not
    * yet, the user asks again.
    */
-  confirm(word: CancelWord): Promise<boolean> {
-    if (this.#told.has(word.job)) return Promise.resolve(true);
-    const known = this.#asking.get(word.job);
+  confirm(notice: CancelNotice): Promise<boolean> {
+    if (this.#told.has(notice.job)) return Promise.resolve(true);
+    const known = this.#asking.get(notice.job);
     if (known !== undefined) return known;
-    const asked = this.#confirm(word).finally(() => this.#asking.delete(word.job));
-    this.#asking.set(word.job, asked);
+    const asked = this.#confirm(notice).finally(() => this.#asking.delete(notice.job));
+    this.#asking.set(notice.job, asked);
     return asked;
   }
 
-  async #confirm(word: CancelWord): Promise<boolean> {
+  async #confirm(notice: CancelNotice): Promise<boolean> {
     const { settings, replica, me } = this.ctx;
     const until = steadyNow() + CONFIRM_MS;
-    this.heard([word]);
-    // All are told, so that whoever is left looks after it; the holder's word is what counts.
-    const acks = new Map(settings.seeds.map((s) => [s.label, this.#tell(s.label, word)] as const));
-    // Whoever takes the share after this revision has read the record before it acts on it. Who
+    this.heard([notice]);
+    // All are told, so that whoever is left looks after it; the owner's word is what counts.
+    const acks = new Map(
+      settings.seeds.map((s) => [s.label, this.#tell(s.label, notice)] as const),
+    );
+    // Whoever takes the shard after this revision has read the record before it acts on it. Who
     // took it before is known here once the watch has come to it.
-    while (replica.position < word.rev) {
+    while (replica.position < notice.rev) {
       if (steadyNow() >= until) return this.#count(false);
       await sleep(POSITION_MS);
     }
-    const share = replica.shareOf(word.job);
-    const label = share === undefined ? undefined : this.membership.holderOf(share)?.label;
+    const shard = replica.shardOf(notice.job);
+    const label = shard === undefined ? undefined : this.membership.ownerOf(shard)?.label;
     if (label === undefined) return this.#count(false);
     const sure = label === me.label || (await (acks.get(label) ?? false));
-    if (sure) this.#remember(word.job);
+    if (sure) this.#remember(notice.job);
     return this.#count(sure);
   }
 
@@ -157,14 +165,14 @@
   // ---- Word between controllers -------------------------------------------------------------
 
   /** True once the other controller has acknowledged it; false if it didn't in a short time. */
-  #tell(to: ControllerLabel, word: CancelWord): Promise<boolean> {
+  #tell(to: ControllerLabel, notice: CancelNotice): Promise<boolean> {
     let box = this.#outboxes.get(to);
     if (box === undefined) {
       box = { waiting: new Map(), sending: false };
       this.#outboxes.set(to, box);
     }
-    const row = box.waiting.get(word.job) ?? { word, done: [] };
-    box.waiting.set(word.job, row);
+    const row = box.waiting.get(notice.job) ?? { notice, done: [] };
+    box.waiting.set(notice.job, row);
     const answer = new Promise<boolean>((resolve) => row.done.push(resolve));
     void this.#send(to, box);
     return answer;
@@ -175,15 +183,15 @@
     box.sending = true;
     const address = addressOf(this.ctx.settings, to);
     while (box.waiting.size > 0) {
-      const rows = [...box.waiting.values()].slice(0, WORDS_A_MESSAGE);
-      for (const r of rows) box.waiting.delete(r.word.job);
-      const cancelled = rows.map((r) => r.word);
-      const payload = encodePeer({ ...NO_WORD, from: this.ctx.me.label, cancelled });
-      this.counters.words += rows.length;
+      const rows = [...box.waiting.values()].slice(0, NOTICES_A_MESSAGE);
+      for (const r of rows) box.waiting.delete(r.notice.job);
+      const cancelled = rows.map((r) => r.notice);
+      const payload = encodePeer({ ...EMPTY_MESSAGE, from: this.ctx.me.label, cancelled });
+      this.counters.notices += rows.length;
       const r =
         address === undefined
           ? undefined
-          : await this.peers.raw(address, "POST", "/peer", payload, WORD_MS);
+          : await this.peers.raw(address, "POST", "/peer", payload, NOTICE_MS);
       const ok = r?.kind === "answer" && r.status === 204;
       for (const row of rows) for (const done of row.done) done(ok);
     }
@@ -195,9 +203,9 @@
    * that needs no write. Word of a job that is not known changes nothing: nothing of it can have
    * been started from here, and what starts it later must name its record's revision.
    */
-  heard(words: readonly CancelWord[]): void {
+  heard(notices: readonly CancelNotice[]): void {
     const { replica } = this.ctx;
-    for (const w of words) {
+    for (const w of notices) {
       const a = replica.accepted.get(w.job);
       if (a === undefined) continue;
       if (a.rev < w.rev && a.value.cancelledAt === null) {
@@ -206,43 +214,44 @@
       }
       this.#stop(w.job);
     }
-    if (words.length > 0) this.holder.held.wake();
+    if (notices.length > 0) this.owner.owned.wake();
   }
 
   #stop(id: JobId): void {
-    const { held, dealings } = this.holder;
+    const { owned, channel } = this.owner;
     for (const o of this.ctx.replica.job(id)?.open ?? [])
-      if (held.sessions.has(o.machine)) dealings.callMachine(o.machine, true);
+      if (owned.sessions.has(o.machine)) channel.callMachine(o.machine, true);
   }
 
   // ---- Until nothing is left ----------------------------------------------------------------
 
   /** One look at all cancelled jobs: stops, and in the end machines, with or without records. */
-  async tend(): Promise<void> {
+  async reconcile(): Promise<void> {
     const { ctx } = this;
     if (!ctx.synced) return;
     const cancelMs = ctx.settings.workers.cancelS * 1000;
     const away = new Set<MachineId>();
-    const others: { id: JobId; word: CancelWord; ageMs: number }[] = [];
+    const others: { id: JobId; notice: CancelNotice; ageMs: number }[] = [];
     for (const [id, { value: a, rev }] of ctx.replica.accepted) {
       if (a.cancelledAt === null) continue;
       const ageMs = timeOfDay() - a.cancelledAt;
-      const share = ctx.replica.shareOf(id);
-      if (share !== undefined && this.membership.holds(share)) this.#tendOwn(id, ageMs, away);
+      const shard = ctx.replica.shardOf(id);
+      if (shard !== undefined && this.membership.holds(shard)) this.#tendOwn(id, ageMs, away);
       else if (ctx.store.failing() && ageMs >= cancelMs * OTHERS_PART)
-        others.push({ id, word: { job: id, rev, at: a.cancelledAt }, ageMs });
+        others.push({ id, notice: { job: id, rev, at: a.cancelledAt }, ageMs });
     }
     if (others.length > 0) void this.#seeThrough(others);
     if (away.size > 0) void this.#takeAway([...away]);
   }
 
   #tendOwn(id: JobId, ageMs: number, away: Set<MachineId>): void {
-    const { held, dealings } = this.holder;
+    const { owned, channel } = this.owner;
     const { replica, settings, store } = this.ctx;
     const now = steadyNow();
     for (const o of replica.job(id)?.open ?? []) {
-      const s = held.sessions.get(o.machine);
-      if (s === undefined || replica.isGone(o.machine) || this.#takenAway.has(o.machine)) continue;
+      const s = owned.sessions.get(o.machine);
+      if (s === undefined || replica.isGone(o.machine) || this.#forceReturned.has(o.machine))
+        continue;
       const found = findAttempt(s, taskId(id, o.index), o.attempt);
       const step = judgeCancel({
         gone:
@@ -253,15 +262,15 @@
         unshownMs: s.state === "unheard" || s.state === "claiming" ? now - s.heardAt : null,
       });
       if (step === "rest") continue;
-      const note = held.note(o.machine);
-      if (now - note.calledAt >= AGAIN_MS) dealings.callMachine(o.machine, true);
+      const note = owned.note(o.machine);
+      if (now - note.calledAt >= AGAIN_MS) channel.callMachine(o.machine, true);
       if (step === "stop") continue;
       if (note.retire?.force !== true) {
         note.retire = { reason: "cancelled task stays", force: true };
-        held.disturbed.add(o.machine);
-        held.wake();
+        owned.disturbed.add(o.machine);
+        owned.wake();
       }
-      if (step === "take_away") away.add(o.machine);
+      if (step === "force_return") away.add(o.machine);
     }
   }
 
@@ -270,7 +279,7 @@
    * The 200 proves that they are gone; the records catch up by the ordinary way.
    */
   async #takeAway(all: readonly MachineId[]): Promise<void> {
-    const ids = all.filter((id) => !this.#takenAway.has(id)).slice(0, MAX_RETURN);
+    const ids = all.filter((id) => !this.#forceReturned.has(id)).slice(0, MAX_RETURN);
     if (this.#taking || ids.length === 0) return;
     this.#taking = true;
     try {
@@ -283,25 +292,25 @@
         CLOUD_MS,
       );
       const done = r.kind === "answer" && r.status === 200;
-      log.info("taken away for cancelled tasks", { machines: ids, done });
+      log.info("returned for cancelled tasks", { machines: ids, done });
       if (!done) return;
-      this.counters.takenAway += ids.length;
-      for (const id of ids) this.#takenAway.add(id);
+      this.counters.forceReturned += ids.length;
+      for (const id of ids) this.#forceReturned.add(id);
     } finally {
       this.#taking = false;
     }
   }
 
-  // ---- Tasks whose holder doesn't answer, while nothing can be written -----------------------
+  // ---- Tasks whose owner doesn't answer, while nothing can be written -----------------------
 
   /**
-   * The holder may have ended, or be out of reach, after it acknowledged. Nobody can take its share
+   * The owner may have ended, or be out of reach, after it acknowledged. Nobody can take its shard
    * in an outage, so the others stop its cancelled tasks under the token that the machine shows: a
    * command of an equal token is accepted from anyone. Tokens, forgetting and closing stay the
-   * holder's.
+   * owner's.
    */
   async #seeThrough(
-    rows: readonly { readonly id: JobId; readonly word: CancelWord; readonly ageMs: number }[],
+    rows: readonly { readonly id: JobId; readonly notice: CancelNotice; readonly ageMs: number }[],
   ): Promise<void> {
     if (this.#seeing) return;
     this.#seeing = true;
@@ -314,7 +323,7 @@
           .filter(
             (r) => now - (this.#answeredFor.get(r.id) ?? Number.NEGATIVE_INFINITY) > ANSWERS_MS,
           )
-          .map(async (r) => ((await this.#holderAnswers(r.word)) ? undefined : r)),
+          .map(async (r) => ((await this.#ownerAnswers(r.notice)) ? undefined : r)),
       );
       const byMachine = new Map<MachineId, { tasks: [TaskId, OpenAttempt][]; ageMs: number }>();
       for (const r of asked) {
@@ -332,9 +341,9 @@
       const work = async (): Promise<void> => {
         for (let next = queue.pop(); next !== undefined; next = queue.pop()) {
           const [id, m] = next;
-          if (this.ctx.replica.isGone(id) || this.#takenAway.has(id)) continue;
+          if (this.ctx.replica.isGone(id) || this.#forceReturned.has(id)) continue;
           if (await this.#stopThere(id, m.tasks)) continue;
-          if (m.ageMs >= cancelMs * TAKE_AWAY_PART) away.push(id);
+          if (m.ageMs >= cancelMs * FORCE_RETURN_PART) away.push(id);
         }
       };
       await Promise.all(Array.from({ length: MOST_ASKED }, work));
@@ -345,12 +354,12 @@
     }
   }
 
-  async #holderAnswers(word: CancelWord): Promise<boolean> {
-    const share = this.ctx.replica.shareOf(word.job);
-    const label = share === undefined ? undefined : this.membership.holderOf(share)?.label;
+  async #ownerAnswers(notice: CancelNotice): Promise<boolean> {
+    const shard = this.ctx.replica.shardOf(notice.job);
+    const label = shard === undefined ? undefined : this.membership.ownerOf(shard)?.label;
     if (label === undefined || label === this.ctx.me.label) return false;
-    const ok = await this.#tell(label, word);
-    if (ok) this.#answeredFor.set(word.job, steadyNow());
+    const ok = await this.#tell(label, notice);
+    if (ok) this.#answeredFor.set(notice.job, steadyNow());
     return ok;
   }
 
--- a/src/coordination/closing.ts
+++ b/src/coordination/closing.ts
@@ -1,20 +1,26 @@
 import {
   type AttemptNo,
-  attemptKey,
   type JobId,
   type MachineId,
   type Mono,
   mono,
-  type ShareNo,
+  type ShardId,
   type TaskId,
   taskId,
 } from "../protocol/ids.js";
 import type { TaskReport } from "../protocol/workers.js";
 import { rangesAdd, rangesCount } from "../storage/ranges.js";
 import { type LiveJob, NO_PROGRESS, type Progress } from "../storage/records.js";
+import type { OpenOn } from "../storage/shard-jobs.js";
 import type { Batch } from "./batch.js";
-import { type Held, MANY_MACHINES } from "./held.js";
 import { findAttempt } from "./session.js";
+import { MANY_MACHINES, type ShardState } from "./shard-state.js";
+
+/**
+ * What part of a transaction the ends of jobs may fill: each takes two changes of its own. (In a flood
+ * of one-task jobs they filled every transaction, and nothing could be started for minutes.)
+ */
+const ENDS_PART = 0.7;
 
 interface Closing {
   readonly key: string;
@@ -25,9 +31,9 @@
   readonly report: TaskReport | undefined;
 }
 
-/** What a round has decided of one share so far. */
-export interface ShareRound {
-  readonly share: ShareNo;
+/** What a round has decided of one shard so far. */
+export interface ShardRound {
+  readonly shard: ShardId;
   readonly batch: Batch;
   readonly now: Mono;
   /** Jobs as this round will write them. */
@@ -41,54 +47,54 @@
 
 /** Is the attempt proved gone, and how did it end? Null: it isn't. */
 const proof = (
-  held: Held,
+  owned: ShardState,
   job: LiveJob | undefined,
   task: TaskId,
-  attempt: AttemptNo,
+  { attempt, key }: OpenOn,
   machine: MachineId,
-  round: ShareRound,
+  round: ShardRound,
 ): { readonly report: TaskReport | undefined } | null => {
-  const { replica } = held.ctx;
+  const { replica } = owned.ctx;
   const m = replica.machines.get(machine);
   // A machine leaves the records only after its attempts: one that is missing proves nothing.
   if (m === undefined) return null;
   if (replica.isGone(machine)) return { report: undefined };
-  const s = held.sessions.get(machine);
+  const s = owned.sessions.get(machine);
   if (s === undefined) return null;
-  const key = attemptKey(task, attempt);
-  const stopped = job === undefined || job.cancelledAt !== null || held.attempts.get(key)?.stop;
-  const found = findAttempt(s, task, attempt);
+  const stopped = job === undefined || job.cancelledAt !== null || owned.attempts.get(key)?.stop;
+  const found = findAttempt(s, task, attempt, key);
   if (found.kind === "present") {
     if (found.report.stage === "ended") return { report: found.report };
     if (stopped) round.call.add(machine);
     return null;
   }
   if (found.kind !== "absent") return null;
-  const leaving = stopped || m.stage !== "up" || held.unheard(machine, round.now);
+  const leaving = stopped || m.stage !== "up" || owned.heartbeatOverdue(machine, round.now);
   return leaving ? { report: undefined } : null;
 };
 
 /** Closes every open attempt that is proved gone on these machines, and ends jobs that are over. */
 export const closeAttempts = (
-  held: Held,
-  round: ShareRound,
+  owned: ShardState,
+  round: ShardRound,
   machines: Iterable<MachineId>,
 ): void => {
-  const { replica } = held.ctx;
-  const { share } = round;
-  const work = replica.work(share);
+  const { replica } = owned.ctx;
+  const { shard } = round;
+  const work = replica.work(shard);
   const byJob = new Map<JobId, Closing[]>();
   for (const machine of machines)
     for (const [task, o] of work.openOn(machine)) {
-      const found = proof(held, work.jobs.get(o.job), task, o.attempt, machine, round);
+      const found = proof(owned, work.jobs.get(o.job), task, o, machine, round);
       if (found === null) continue;
       const row = { ...o, machine, report: found.report };
       const rows = byJob.get(o.job);
       if (rows === undefined) byJob.set(o.job, [row]);
       else rows.push(row);
     }
-  for (const [id, job] of work.index.cancelled)
-    if (job.open.length === 0 && !byJob.has(id)) byJob.set(id, []);
+  // Ends that are due: cancelled jobs with nothing open, and completed ones that had to wait.
+  for (const ended of [work.index.cancelled, work.index.complete])
+    for (const [id, job] of ended) if (job.open.length === 0 && !byJob.has(id)) byJob.set(id, []);
   for (const [id, rows] of byJob) {
     const job = work.jobs.get(id);
     const old: Progress =
@@ -101,55 +107,64 @@
       open: old.open.filter((o) => !gone.has(o.index)),
       nextAttempt: old.nextAttempt,
     };
-    if (!write(held, round, id, job, next)) {
-      for (const r of rows) held.disturbed.add(r.machine);
+    if (!write(owned, round, id, job, next, rows.length > 0)) {
+      for (const r of rows) owned.disturbed.add(r.machine);
       continue;
     }
     if (job !== undefined) round.drafts.set(id, { ...job, ...next });
     for (const r of rows) {
-      held.closing.add(r.key);
+      owned.closing.add(r.key);
       round.closedKeys.push(r.key);
       const on = round.closed.get(r.machine) ?? new Set();
       on.add(taskId(id, r.index));
       round.closed.set(r.machine, on);
-      if (r.report === undefined) held.counters.lost++;
-      else if (job !== undefined) learn(held, id, job, r, r.report, round.now);
+      if (r.report === undefined) owned.counters.lost++;
+      else if (job !== undefined) learn(owned, id, job, r, r.report, round.now);
     }
   }
 };
 
 const write = (
-  held: Held,
-  { share, batch }: ShareRound,
+  owned: ShardState,
+  { shard, batch }: ShardRound,
   id: JobId,
   job: LiveJob | undefined,
   next: Progress,
+  closed: boolean,
 ): boolean => {
-  if (job === undefined) return batch.putJob(share, id, next);
+  if (job === undefined) return batch.putJob(shard, id, next);
   const doneTasks = rangesCount(next.done);
   const over = job.cancelledAt !== null ? next.open.length === 0 : doneTasks === job.spec.tasks;
-  if (!over) return batch.putJob(share, id, next);
-  const rev = held.ctx.replica.accepted.get(id)?.rev;
-  if (rev === undefined) return false;
+  const rev = owned.ctx.replica.accepted.get(id)?.rev;
   const stage = job.cancelledAt !== null ? "cancelled" : "done";
-  return batch.finish(share, id, rev, { stage, done: doneTasks });
+  if (over && rev !== undefined && batch.ops < batch.mostOps * ENDS_PART)
+    if (batch.finish(shard, id, rev, { stage, done: doneTasks })) return true;
+  // Its end can wait, but not the room that its tasks have left.
+  return closed && batch.putJob(shard, id, next);
 };
 
-const learn = (held: Held, id: JobId, job: LiveJob, o: Closing, t: TaskReport, now: Mono): void => {
-  const jn = held.jobNote(id);
-  const mn = held.note(o.machine);
+const learn = (
+  owned: ShardState,
+  id: JobId,
+  job: LiveJob,
+  o: Closing,
+  t: TaskReport,
+  now: Mono,
+): void => {
+  const jn = owned.jobNote(id);
+  const mn = owned.note(o.machine);
   if (t.cause === "done") {
-    held.counters.done++;
-    held.learnRun(job.spec, held.attempts.get(o.key), now);
+    owned.counters.done++;
+    owned.learnRun(job.spec, owned.attempts.get(o.key), now);
     jn.failures = 0;
     mn.failures = 0;
     mn.failedJobs.clear();
     return;
   }
   if (t.cause === "halted") return;
-  held.counters.errors++;
+  owned.counters.errors++;
   if (job.cancelledAt !== null) return;
-  const { log } = held.ctx;
+  const { log } = owned.ctx;
   log.debug("attempt failed", { task: t.task, machine: o.machine, cause: t.cause ?? "" });
   if (t.cause === "error") {
     jn.failures++;
--- a/src/coordination/way.ts
+++ b/src/coordination/connectivity.ts
@@ -1,13 +1,13 @@
 /**
- * What a holder makes of hearing nothing from any of its machines.
+ * What a owner makes of hearing nothing from any of its machines.
  *
- * `open`: some are heard. `doubted`: none was heard for longer than chance allows, and whoever
- * falls silent now isn't given up. `blind`: that has lasted; the way to all of them is gone, not
- * they. `given_up`: it has lasted for so long that nothing can be left running there anyway.
+ * `connected`: some are heard. `suspect`: none was heard for longer than chance allows, and whoever
+ * falls silent now isn't given up. `disconnected`: that has lasted; the way to all of them is gone, not
+ * they. `abandoned`: it has lasted for so long that nothing can be left running there anyway.
  */
-export type Way = "open" | "doubted" | "blind" | "given_up";
+export type Connectivity = "connected" | "suspect" | "disconnected" | "abandoned";
 
-export interface WayView {
+export interface ConnectivityView {
   /** Machines that should be reporting. */
   readonly known: number;
   /** For how long none of them was heard. */
@@ -34,14 +34,14 @@
 const GIVE_UP_LEASES = 2;
 
 /** The one place where the way to the machines is judged; it follows from the view alone. */
-export const judgeWay = (v: WayView): Way => {
-  if (v.known < LEAST) return "open";
-  if (v.mute) return "blind";
+export const judgeConnectivity = (v: ConnectivityView): Connectivity => {
+  if (v.known < LEAST) return "connected";
+  if (v.mute) return "disconnected";
   const doubtMs = Math.min(
     v.silenceMs * DOUBT_PART,
     Math.max(LEAST_MS, (EXPECTED * v.reportMs) / v.known),
   );
-  if (v.quietMs < doubtMs) return "open";
-  if (v.quietMs < v.silenceMs * BLIND_PART) return "doubted";
-  return v.quietMs < v.leaseMs * GIVE_UP_LEASES ? "blind" : "given_up";
+  if (v.quietMs < doubtMs) return "connected";
+  if (v.quietMs < v.silenceMs * BLIND_PART) return "suspect";
+  return v.quietMs < v.leaseMs * GIVE_UP_LEASES ? "disconnected" : "abandoned";
 };
--- a/src/service/context.ts
+++ b/src/coordination/context.ts
@@ -1,13 +1,13 @@
 import type { Operators } from "../cli/operators.js";
 import type { Settings, Team } from "../cli/settings.js";
-import type { Awake } from "../coordination/awake.js";
+import type { Logger } from "../observability/log.js";
+import type { Metrics } from "../observability/metrics.js";
 import type { ControllerLabel, Revision, TeamName } from "../protocol/ids.js";
 import type { Op } from "../protocol/store.js";
-import type { Holder } from "../storage/records.js";
+import type { ControllerId } from "../storage/records.js";
 import type { Replica } from "../storage/replica.js";
 import type { Store } from "../storage/store.js";
-import type { Logger } from "./log.js";
-import type { Metrics } from "./metrics.js";
+import type { PauseDetector } from "./pause-detector.js";
 
 /** What all parts of one controller share. */
 export interface Context {
@@ -16,11 +16,11 @@
   readonly operators: Operators;
   readonly store: Store;
   readonly replica: Replica;
-  readonly me: Holder;
+  readonly me: ControllerId;
   readonly log: Logger;
   readonly random: () => number;
   readonly metrics: Metrics;
-  readonly awake: Awake;
+  readonly pauses: PauseDetector;
   /** False until the first scan is in. */
   synced: boolean;
   stopping: boolean;
--- a/src/coordination/fleet/failing-jobs.ts
+++ b/src/coordination/fleet/failing-jobs.ts
@@ -1,11 +1,11 @@
 import { type JobId, type Mono, mono } from "../../protocol/ids.js";
 import type { JobSpec } from "../../protocol/jobs.js";
-import { encodePeer, NO_WORD } from "../../protocol/peer.js";
-import { addressOf, type Context } from "../../service/context.js";
+import { EMPTY_MESSAGE, encodePeer } from "../../protocol/peer.js";
 import { doneCount, type LiveJob } from "../../storage/records.js";
 import type { Calls } from "../../transport/client.js";
 import { steadyNow } from "../../transport/clock.js";
-import type { Holder } from "../holder.js";
+import { addressOf, type Context } from "../context.js";
+import type { ShardOwner } from "../shard-owner.js";
 
 /** How long an owner's word that a job fails stands. */
 const STANDS_MS = 8000;
@@ -21,7 +21,7 @@
 
   constructor(
     private readonly ctx: Context,
-    private readonly holder: Holder,
+    private readonly owner: ShardOwner,
     private readonly peers: Calls,
   ) {}
 
@@ -33,7 +33,7 @@
   /** Tells the leader which jobs of the shards owned here fail; it may be this controller. */
   async tell(): Promise<void> {
     const { replica, settings, me } = this.ctx;
-    const failing = [...this.holder.held.failing()];
+    const failing = [...this.owner.owned.failing()];
     const leader = replica.leader?.value.label;
     if (failing.length === 0 || leader === undefined) return;
     if (leader === me.label) {
@@ -42,7 +42,7 @@
     }
     const address = addressOf(settings, leader);
     if (address === undefined) return;
-    const payload = encodePeer({ ...NO_WORD, from: me.label, failing });
+    const payload = encodePeer({ ...EMPTY_MESSAGE, from: me.label, failing });
     await this.peers.raw(address, "POST", "/peer", payload, PEER_MS);
   }
 
--- a/src/coordination/fleet/machine-types.ts
+++ b/src/coordination/fleet/machine-types.ts
@@ -1,8 +1,8 @@
 import { type MachineType, parseTypes } from "../../protocol/cloud.js";
 import { type Mono, mono } from "../../protocol/ids.js";
-import type { Context } from "../../service/context.js";
 import { keys, typesValue } from "../../storage/records.js";
 import { steadyNow } from "../../transport/clock.js";
+import type { Context } from "../context.js";
 import type { Cloud } from "./cloud.js";
 import type { FleetRecords } from "./records.js";
 
--- a/src/coordination/fleet/owner-requests.ts
+++ b/src/coordination/fleet/owner-requests.ts
@@ -1,9 +1,9 @@
 import type { ControllerLabel, MachineId } from "../../protocol/ids.js";
-import { encodePeer, type MoveRequest, NO_WORD } from "../../protocol/peer.js";
-import { addressOf, type Context } from "../../service/context.js";
+import { EMPTY_MESSAGE, encodePeer, type MoveRequest } from "../../protocol/peer.js";
 import type { Calls } from "../../transport/client.js";
-import type { Holder } from "../holder.js";
+import { addressOf, type Context } from "../context.js";
 import type { Membership } from "../membership.js";
+import type { ShardOwner } from "../shard-owner.js";
 
 const PEER_MS = 1000;
 
@@ -17,17 +17,17 @@
  * so it is the owner that moves or retires it.
  */
 export class OwnerRequests {
-  readonly counters = { moved: 0, vacated: 0 };
+  readonly counters = { moved: 0, drained: 0 };
 
   constructor(
     private readonly ctx: Context,
     private readonly membership: Membership,
-    private readonly holder: Holder,
+    private readonly owner: ShardOwner,
     private readonly peers: Calls,
   ) {}
 
   move(moves: readonly MoveRequest[], surplus: readonly MachineId[] = []): void {
-    for (const m of moves) this.counters[m.vacate ? "vacated" : "moved"]++;
+    for (const m of moves) this.counters[m.drain ? "drained" : "moved"]++;
     this.#send(moves, surplus, "");
   }
 
@@ -48,8 +48,8 @@
   ): ReadonlyMap<ControllerLabel, Requests> {
     const out = new Map<ControllerLabel, Requests>();
     const requestsFor = (id: MachineId): Requests | undefined => {
-      const shard = this.ctx.replica.machines.get(id)?.share;
-      const owner = shard === undefined ? undefined : this.membership.holderOf(shard)?.label;
+      const shard = this.ctx.replica.machines.get(id)?.shard;
+      const owner = shard === undefined ? undefined : this.membership.ownerOf(shard)?.label;
       if (owner === undefined) return undefined;
       const requests = out.get(owner) ?? { moves: [], retire: [] };
       out.set(owner, requests);
@@ -61,15 +61,15 @@
   }
 
   #own({ moves, retire }: Requests, reason: string): void {
-    for (const m of moves) this.holder.requestMove(m);
-    for (const id of retire) this.holder.requestRetire(id, reason);
+    for (const m of moves) this.owner.requestMove(m);
+    for (const id of retire) this.owner.requestRetire(id, reason);
   }
 
   #tell(owner: ControllerLabel, requests: Requests, reason: string): void {
     const { settings, me } = this.ctx;
     const address = addressOf(settings, owner);
     if (address === undefined) return;
-    const payload = encodePeer({ ...NO_WORD, from: me.label, ...requests, reason });
+    const payload = encodePeer({ ...EMPTY_MESSAGE, from: me.label, ...requests, reason });
     void this.peers.raw(address, "POST", "/peer", payload, PEER_MS);
   }
 }
--- a/src/coordination/fleet/planner.ts
+++ b/src/coordination/fleet/planner.ts
@@ -1,5 +1,5 @@
 import { MAX_RENT } from "../../protocol/cloud.js";
-import { type JobId, type MachineId, type Mono, mono, type ShareNo } from "../../protocol/ids.js";
+import { type JobId, type MachineId, type Mono, mono, type ShardId } from "../../protocol/ids.js";
 import { rankOrder } from "../../protocol/jobs.js";
 import type { MoveRequest } from "../../protocol/peer.js";
 import { demandOf } from "../../scheduling/demand.js";
@@ -11,10 +11,10 @@
   planFleet,
 } from "../../scheduling/fleet.js";
 import { NOTHING, plus } from "../../scheduling/resources.js";
-import type { Context } from "../../service/context.js";
 import { type MachineRecord, waitingCount } from "../../storage/records.js";
 import { steadyNow, timeOfDay } from "../../transport/clock.js";
-import type { Holder } from "../holder.js";
+import type { Context } from "../context.js";
+import type { ShardOwner } from "../shard-owner.js";
 import type { FailingJobs } from "./failing-jobs.js";
 import type { MachineTypes } from "./machine-types.js";
 import type { OwnerRequests } from "./owner-requests.js";
@@ -31,7 +31,7 @@
 const GUARANTEED_RANK = -1;
 
 interface Transfer {
-  readonly to: ShareNo;
+  readonly to: ShardId;
   readonly until: Mono;
 }
 
@@ -52,7 +52,7 @@
     private readonly rentals: Rentals,
     private readonly owners: OwnerRequests,
     private readonly failing: FailingJobs,
-    private readonly holder: Holder,
+    private readonly owner: ShardOwner,
   ) {}
 
   async plan(): Promise<void> {
@@ -112,12 +112,12 @@
     const machines: FleetMachine[] = [];
     for (const [id, m] of replica.machines) {
       if (m.stage !== "up" || m.endpoint === "" || replica.isGone(id)) continue;
-      if (replica.work(m.share).openOn(id).size > 0) continue;
+      if (replica.work(m.shard).openOn(id).size > 0) continue;
       const type = this.types.find(m.type);
       if (type === undefined) continue;
-      const share = this.#transferOf(id, m, now)?.to ?? m.share;
+      const shard = this.#transferOf(id, m, now)?.to ?? m.shard;
       const { zone, spot } = m;
-      const row = { id, share, type, zone, spot, up: true, use: NOTHING, open: 0, tasks: [] };
+      const row = { id, shard, type, zone, spot, up: true, use: NOTHING, open: 0, tasks: [] };
       machines.push({ ...row, idleS: 0, heldS: 0 });
     }
     return machines;
@@ -148,13 +148,13 @@
         transfer === undefined ? this.#tasksOn(id, m, withinGuarantee, openSince, now) : [];
       machines.push({
         id,
-        share: transfer?.to ?? m.share,
+        shard: transfer?.to ?? m.shard,
         type,
         zone: m.zone,
         spot: m.spot,
         up,
         use: tasks.reduce((sum, task) => plus(sum, task.needs), NOTHING),
-        open: transfer === undefined ? replica.work(m.share).openOn(id).size : 0,
+        open: transfer === undefined ? replica.work(m.shard).openOn(id).size : 0,
         tasks,
         idleS,
         heldS,
@@ -167,7 +167,7 @@
   }
 
   #idleS(id: MachineId, m: MachineRecord, now: Mono): number {
-    if (this.ctx.replica.work(m.share).openOn(id).size > 0) this.#idleSince.delete(id);
+    if (this.ctx.replica.work(m.shard).openOn(id).size > 0) this.#idleSince.delete(id);
     else if (!this.#idleSince.has(id)) this.#idleSince.set(id, now);
     return (now - (this.#idleSince.get(id) ?? now)) / 1000;
   }
@@ -179,7 +179,7 @@
     openSince: Map<string, Mono>,
     now: Mono,
   ): FleetMachine["tasks"] {
-    const work = this.ctx.replica.work(m.share);
+    const work = this.ctx.replica.work(m.shard);
     const tasks: FleetMachine["tasks"][number][] = [];
     for (const o of work.openOn(id).values()) {
       const job = work.jobs.get(o.job);
@@ -198,14 +198,14 @@
   #transferOf(id: MachineId, m: MachineRecord, now: Mono): Transfer | undefined {
     const transfer = this.#transfers.get(id);
     if (transfer === undefined) return undefined;
-    if (transfer.until > now && m.share !== transfer.to) return transfer;
+    if (transfer.until > now && m.shard !== transfer.to) return transfer;
     this.#transfers.delete(id);
     return undefined;
   }
 
   #noteTransfers(moves: readonly MoveRequest[], now: Mono): void {
     for (const m of moves) {
-      const until = mono(now + (m.vacate ? DRAIN_MS : TRANSFER_MS));
+      const until = mono(now + (m.drain ? DRAIN_MS : TRANSFER_MS));
       this.#transfers.set(m.machine, { to: m.to, until });
     }
   }
@@ -227,11 +227,11 @@
     const types = this.types.all();
     const demand = demandOf({
       jobs: this.failing.wanting(),
-      shareOf: replica.teams?.value ?? new Map(),
+      shardOf: replica.teams?.value ?? new Map(),
       teams,
       withinGuarantee: this.#withinGuarantee(),
       objectives: settings.objectives,
-      runS: (job) => this.holder.held.runS(job.spec),
+      runS: (job) => this.owner.owned.runS(job.spec),
       types,
       bootS: Math.min(...types.map((t) => t.bootS)),
       headroom: operators.headroom,
@@ -252,11 +252,11 @@
     const { replica, log } = this.ctx;
     const cpus = (some: readonly FleetMachine[]): number =>
       some.reduce((n, m) => n + m.type.capacity.cpus, 0);
-    for (const share of replica.shares.keys()) {
-      const own = machines.filter((m) => m.share === share);
-      const waiting = [...replica.work(share).index.waiting.values()];
+    for (const shard of replica.shards.keys()) {
+      const own = machines.filter((m) => m.shard === shard);
+      const waiting = [...replica.work(shard).index.waiting.values()];
       log.debug("plan", {
-        share,
+        shard,
         upCpus: cpus(own.filter((m) => m.up)),
         bootingCpus: cpus(own.filter((m) => !m.up)),
         usedCpus: own.reduce((n, m) => n + m.use.cpus, 0),
@@ -265,8 +265,8 @@
         levels: [...this.#levels].map(
           ([key, n]) => `${key.split("|")[0]}.${key.split("|").pop()}=${n.toFixed(1)}`,
         ),
-        moves: plan.moves.filter((m) => m.to === share).length,
-        rents: plan.rents.flatMap((r) => r.shares).filter((n) => n === share).length,
+        moves: plan.moves.filter((m) => m.to === shard).length,
+        rents: plan.rents.flatMap((r) => r.shards).filter((n) => n === shard).length,
       });
     }
   }
--- a/src/coordination/fleet/records.ts
+++ b/src/coordination/fleet/records.ts
@@ -1,9 +1,9 @@
-import { ABSENT, type MachineId, type ShareNo } from "../../protocol/ids.js";
+import { ABSENT, type MachineId, type ShardId } from "../../protocol/ids.js";
 import type { Condition, Op, Txn } from "../../protocol/store.js";
-import { absorb, type Context, refresh } from "../../service/context.js";
 import { fleetPageValue, MACHINE_BYTES } from "../../storage/pages.js";
 import { keys, type MachineRecord } from "../../storage/records.js";
 import { pageLimit } from "../batch.js";
+import { absorb, type Context, refresh } from "../context.js";
 import type { Membership } from "../membership.js";
 
 /** Machines returned lately, whose late reports must not have them adopted again. */
@@ -49,7 +49,7 @@
     return false;
   }
 
-  /** Named by this term of leadership: no two terms share a revision, no term a number. */
+  /** Named by this term of leadership: no two terms have the same revision, no term a number. */
   nextName(): string {
     return `${this.ctx.replica.leader?.rev}-${++this.#names}`;
   }
@@ -90,18 +90,18 @@
 
   #pages(rows: readonly (readonly [MachineId, NewMachine])[]): readonly Op[] {
     const { replica, settings } = this.ctx;
-    const byShard = new Map<ShareNo, [MachineId, MachineRecord][]>();
+    const byShard = new Map<ShardId, [MachineId, MachineRecord][]>();
     for (const [id, machine] of rows) {
-      const page = byShard.get(machine.share) ?? [];
-      byShard.set(machine.share, page);
+      const page = byShard.get(machine.shard) ?? [];
+      byShard.set(machine.shard, page);
       page.push([id, { ...machine, floor: replica.latest }]);
     }
     const most = Math.floor(pageLimit({ ...settings.state, size: settings.size }) / MACHINE_BYTES);
     const puts: Op[] = [];
-    for (const [share, machines] of byShard)
+    for (const [shard, machines] of byShard)
       for (let i = 0; i < machines.length; i += most) {
         const value = fleetPageValue(machines.slice(i, i + most));
-        puts.push({ kind: "put", key: keys.fleet(share, this.nextName()), value });
+        puts.push({ kind: "put", key: keys.fleet(shard, this.nextName()), value });
       }
     return puts;
   }
--- a/src/coordination/fleet/rentals.ts
+++ b/src/coordination/fleet/rentals.ts
@@ -5,13 +5,13 @@
   type Mono,
   mono,
   type Revision,
-  shareNo,
+  shardId,
 } from "../../protocol/ids.js";
 import { offerKey, type Rent } from "../../scheduling/fleet.js";
-import type { Context } from "../../service/context.js";
-import { type HireRecord, hireValue, keys } from "../../storage/records.js";
+import { keys, type RentalIntent, rentalIntentValue } from "../../storage/records.js";
 import type { Versioned } from "../../storage/replica.js";
 import { steadyNow, timeOfDay } from "../../transport/clock.js";
+import type { Context } from "../context.js";
 import type { Cloud, CloudAnswer } from "./cloud.js";
 import type { FleetRecords } from "./records.js";
 
@@ -43,18 +43,18 @@
   /** Writes the intents to rent; they are carried out at once, and by any later leader. */
   async intend(rents: readonly Rent[]): Promise<void> {
     const { replica, settings, log } = this.ctx;
-    if (rents.length === 0 || replica.hires.size > 0) return;
+    if (rents.length === 0 || replica.rentals.size > 0) return;
     const most = Math.min(settings.state.txnOps, MOST_INTENTS);
     const intents = rents
       .flatMap(inCalls)
       .slice(0, most)
-      .map((rent) => ({ key: keys.hire(this.records.nextName()), rent }));
+      .map((rent) => ({ key: keys.rental(this.records.nextName()), rent }));
     const written = await this.records.write({
       conditions: intents.map(({ key }) => ({ key, rev: ABSENT })),
       ops: intents.map(({ key, rent }) => ({
         kind: "put",
         key,
-        value: hireValue({ ...rent, at: timeOfDay() }),
+        value: rentalIntentValue({ ...rent, at: timeOfDay() }),
       })),
     });
     if (written) log.debug("rental intents written", { intents: intents.length });
@@ -62,23 +62,27 @@
 
   /** Carries out written intents. A name is repeated until it has an answer, and never reused. */
   async carryOut(): Promise<void> {
-    const open = [...this.ctx.replica.hires].filter(([name]) => !this.#calling.has(name));
+    const open = [...this.ctx.replica.rentals].filter(([name]) => !this.#calling.has(name));
     await Promise.all(open.map(([name, intent]) => this.#carryOutOne(name, intent)));
   }
 
-  async #carryOutOne(name: string, intent: Versioned<HireRecord>): Promise<void> {
+  async #carryOutOne(name: string, intent: Versioned<RentalIntent>): Promise<void> {
     this.#calling.add(name);
     try {
       const { value } = intent;
-      const body = rentBody({ name, ...value, count: value.shares.length });
+      const body = rentBody({ name, ...value, count: value.shards.length });
       const answer = await this.cloud.call("POST", "/machines", body);
-      if (answer !== undefined) await this.#answered(keys.hire(name), intent, answer);
+      if (answer !== undefined) await this.#answered(keys.rental(name), intent, answer);
     } finally {
       this.#calling.delete(name);
     }
   }
 
-  async #answered(key: string, intent: Versioned<HireRecord>, answer: CloudAnswer): Promise<void> {
+  async #answered(
+    key: string,
+    intent: Versioned<RentalIntent>,
+    answer: CloudAnswer,
+  ): Promise<void> {
     const { value, rev } = intent;
     if (answer.status === 200) {
       await this.#rented(key, rev, value, parseRented(answer.body) ?? []);
@@ -101,11 +105,11 @@
   async #rented(
     key: string,
     rev: Revision,
-    intent: HireRecord,
+    intent: RentalIntent,
     ids: readonly MachineId[],
   ): Promise<void> {
     this.counters.rented += ids.length;
-    if (ids.length < intent.shares.length) this.#refuse(intent);
+    if (ids.length < intent.shards.length) this.#refuse(intent);
     const { type, zone, spot } = intent;
     const row = { type, zone, spot, endpoint: "", stage: "up", rentedAt: timeOfDay() } as const;
     // An intent that was written late, after it had been carried out and dropped, has the same
@@ -113,7 +117,7 @@
     const fresh = ids.flatMap((id, i) =>
       this.records.known(id) || this.records.returned(id)
         ? []
-        : [[id, { ...row, share: intent.shares[i] ?? shareNo(0) }] as const],
+        : [[id, { ...row, shard: intent.shards[i] ?? shardId(0) }] as const],
     );
     await this.records.enter(fresh, [{ key, rev }], [{ kind: "delete", key }]);
   }
@@ -122,7 +126,7 @@
 /** One call of the cloud rents a bounded number of machines. */
 const inCalls = (rent: Rent): readonly Rent[] => {
   const parts: Rent[] = [];
-  for (let i = 0; i < rent.shares.length; i += MAX_RENT)
-    parts.push({ ...rent, shares: rent.shares.slice(i, i + MAX_RENT) });
+  for (let i = 0; i < rent.shards.length; i += MAX_RENT)
+    parts.push({ ...rent, shards: rent.shards.slice(i, i + MAX_RENT) });
   return parts;
 };
--- a/src/coordination/fleet/returns.ts
+++ b/src/coordination/fleet/returns.ts
@@ -1,8 +1,8 @@
 import { MAX_RETURN, returnBody } from "../../protocol/cloud.js";
 import { ABSENT, type MachineId } from "../../protocol/ids.js";
-import type { Context } from "../../service/context.js";
 import { goneValue, keys } from "../../storage/records.js";
 import { timeOfDay } from "../../transport/clock.js";
+import type { Context } from "../context.js";
 import { CLOUD_CALL_MS, type Cloud } from "./cloud.js";
 import type { FleetRecords } from "./records.js";
 
--- a/src/coordination/fleet/unknown-machines.ts
+++ b/src/coordination/fleet/unknown-machines.ts
@@ -4,13 +4,13 @@
   type Mono,
   mono,
   type Revision,
-  type ShareNo,
-  shareNo,
+  type ShardId,
+  shardId,
 } from "../../protocol/ids.js";
 import { parseReport, type Report } from "../../protocol/workers.js";
-import type { Context } from "../../service/context.js";
 import type { Calls } from "../../transport/client.js";
 import { steadyNow, timeOfDay } from "../../transport/clock.js";
+import type { Context } from "../context.js";
 import { CLOUD_CALL_MS, type Cloud } from "./cloud.js";
 import type { MachineTypes } from "./machine-types.js";
 import type { FleetRecords, NewMachine } from "./records.js";
@@ -21,7 +21,7 @@
 const STATUS_MS = 2000;
 
 /** A machine that was seen while no record knew it, and up to where the records were known then. */
-type Seen = Omit<NewMachine, "share"> & { readonly seenAt: Revision };
+type Seen = Omit<NewMachine, "shard"> & { readonly seenAt: Revision };
 
 /**
  * Machines that no record knows: from before this service's time, or from a rental that was carried
@@ -79,7 +79,7 @@
       if (replica.position < seenAt) continue;
       this.#seen.delete(id);
       if (!this.records.known(id) && !this.records.returned(id))
-        rows.push([id, { ...machine, share: nextShard(machine.type) }]);
+        rows.push([id, { ...machine, shard: nextShard(machine.type) }]);
     }
     if (rows.length === 0 || !(await this.records.enter(rows, [], []))) return;
     this.counters.adopted += rows.length;
@@ -87,14 +87,14 @@
   }
 
   /** Gives out shards, each time the one with the fewest processors. */
-  #shardsByLoad(): (type: string) => ShareNo {
+  #shardsByLoad(): (type: string) => ShardId {
     const load = Array.from({ length: this.ctx.settings.size }, () => 0);
-    const add = (shard: ShareNo, type: string): void => {
+    const add = (shard: ShardId, type: string): void => {
       load[shard] = (load[shard] ?? 0) + (this.types.find(type)?.capacity.cpus ?? 1);
     };
-    for (const m of this.ctx.replica.machines.values()) add(m.share, m.type);
+    for (const m of this.ctx.replica.machines.values()) add(m.shard, m.type);
     return (type) => {
-      const shard = shareNo(load.indexOf(Math.min(...load)));
+      const shard = shardId(load.indexOf(Math.min(...load)));
       add(shard, type);
       return shard;
     };
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,7 +1,7 @@
 import type { JobId } from "../protocol/ids.js";
 import type { Report } from "../protocol/workers.js";
-import type { Context } from "../service/context.js";
 import type { Calls } from "../transport/client.js";
+import type { Context } from "./context.js";
 import { Cloud } from "./fleet/cloud.js";
 import { FailingJobs } from "./fleet/failing-jobs.js";
 import { MachineTypes } from "./fleet/machine-types.js";
@@ -11,8 +11,8 @@
 import { Rentals } from "./fleet/rentals.js";
 import { Returns } from "./fleet/returns.js";
 import { UnknownMachines } from "./fleet/unknown-machines.js";
-import type { Holder } from "./holder.js";
 import type { Membership } from "./membership.js";
+import type { ShardOwner } from "./shard-owner.js";
 
 /** The leader's work: all calls of the cloud, and which shard a free machine serves. */
 export class Leader {
@@ -28,7 +28,7 @@
   constructor(
     ctx: Context,
     membership: Membership,
-    holder: Holder,
+    owner: ShardOwner,
     cloudCalls: Calls,
     peers: Calls,
     workers: Calls,
@@ -39,8 +39,8 @@
     this.#rentals = new Rentals(ctx, this.#records, cloud);
     this.#returns = new Returns(ctx, this.#records, cloud);
     this.#unknown = new UnknownMachines(ctx, this.#records, this.#types, cloud, workers);
-    this.#owners = new OwnerRequests(ctx, membership, holder, peers);
-    this.#failing = new FailingJobs(ctx, holder, peers);
+    this.#owners = new OwnerRequests(ctx, membership, owner, peers);
+    this.#failing = new FailingJobs(ctx, owner, peers);
     this.#planner = new FleetPlanner(
       ctx,
       this.#records,
@@ -48,7 +48,7 @@
       this.#rentals,
       this.#owners,
       this.#failing,
-      holder,
+      owner,
     );
   }
 
--- a/src/coordination/machines.ts
+++ b/src/coordination/machine-records.ts
@@ -3,9 +3,9 @@
 import { keys, type MachineRecord } from "../storage/records.js";
 import type { FleetPage } from "../storage/replica.js";
 import { pageLimit } from "./batch.js";
-import type { ShareRound } from "./closing.js";
-import type { Held } from "./held.js";
+import type { ShardRound } from "./closing.js";
 import { inTheWay, needsBump, worthBump } from "./session.js";
+import type { ShardState } from "./shard-state.js";
 
 /** What is to become of a machine's record. */
 type Change =
@@ -24,22 +24,22 @@
 const MOST_JOINED = 3;
 const JOIN_LEVEL = 0.6;
 
-/** Records of machines: those proved gone, endpoints, bumps, moves between shares, retirement. */
+/** Records of machines: those proved gone, endpoints, bumps, moves between shards, retirement. */
 export class MachineRecords {
   readonly #lazySince = new Map<string, Mono>();
   #names = 0;
 
-  constructor(private readonly held: Held) {}
+  constructor(private readonly owned: ShardState) {}
 
   /** Returns the machines whose records this round changes: nothing is started on them. */
-  tend(round: ShareRound): ReadonlySet<MachineId> {
-    const { held } = this;
-    const { replica } = held.ctx;
+  reconcile(round: ShardRound): ReadonlySet<MachineId> {
+    const { owned } = this;
+    const { replica } = owned.ctx;
     const edited = new Set<MachineId>();
     const written = new Set<string>();
     const pages: [string, FleetPage][] = [];
     for (const [key, page] of replica.fleetPages)
-      if (page.share === round.share) pages.push([key, page]);
+      if (page.shard === round.shard) pages.push([key, page]);
     for (const [key, page] of pages) {
       const changes = new Map<MachineId, Change>();
       let lazyMs = Number.POSITIVE_INFINITY;
@@ -69,28 +69,28 @@
   #write(
     key: string,
     changes: ReadonlyMap<MachineId, Change>,
-    round: ShareRound,
+    round: ShardRound,
     edited: Set<MachineId>,
   ): boolean {
-    const { held } = this;
-    const { replica } = held.ctx;
+    const { owned } = this;
+    const { replica } = owned.ctx;
     const machines = round.batch.editFleet(key);
     if (machines === undefined) return false;
     for (const [id, change] of changes) {
       if (change.kind === "drop") machines.delete(id);
       else if (change.kind === "move") {
-        const share = replica.shares.get(round.share)?.rev;
-        const page = round.batch.newFleet(keys.fleet(change.to.share, `${share}-${this.#names}`));
+        const shard = replica.shards.get(round.shard)?.rev;
+        const page = round.batch.newFleet(keys.fleet(change.to.shard, `${shard}-${this.#names}`));
         if (page === undefined) continue;
         machines.delete(id);
         page.set(id, change.to);
         edited.add(id);
       } else {
-        held.note(id).wantsBump = false;
+        owned.note(id).wantsBump = false;
         if (change.lazyMs === 0 || change.to.floor !== machines.get(id)?.floor) edited.add(id);
         machines.set(id, change.to);
         if (change.to.stage === "up") round.call.add(id);
-        else held.note(id).move = null;
+        else owned.note(id).move = null;
       }
     }
     return true;
@@ -101,38 +101,38 @@
     this.#names++;
   }
 
-  #change(id: MachineId, m: MachineRecord, round: ShareRound): Change | undefined {
-    const { held } = this;
-    const { replica } = held.ctx;
-    const open = replica.work(round.share).openOn(id).size;
+  #change(id: MachineId, m: MachineRecord, round: ShardRound): Change | undefined {
+    const { owned } = this;
+    const { replica } = owned.ctx;
+    const open = replica.work(round.shard).openOn(id).size;
     if (replica.isGone(id))
       return open === (round.closed.get(id)?.size ?? 0) ? { kind: "drop" } : undefined;
-    const s = held.sessions.get(id);
+    const s = owned.sessions.get(id);
     if (s === undefined || m.stage !== "up") return undefined;
-    const note = held.note(id);
+    const note = owned.note(id);
     const empty = open === 0;
     if (note.retire !== null && (note.retire.force || empty)) {
-      held.ctx.log.info("machine retired", { machine: id, reason: note.retire.reason });
+      owned.ctx.log.info("machine retired", { machine: id, reason: note.retire.reason });
       return { kind: "put", to: { ...m, stage: "retiring" }, lazyMs: 0 };
     }
     const endpoint = s.report?.endpoint ?? m.endpoint;
     if (note.move !== null) {
-      const { to, vacate } = note.move;
-      // What has exited there the next holder forgets, under its higher token.
+      const { to, drain } = note.move;
+      // What has exited there the next owner forgets, under its higher token.
       const idle = [...s.tasks.values()].every((x) => x.stage === "ended");
       const proved = empty && idle && (s.state === "ready" || s.report === undefined);
-      if (proved || !vacate) note.move = null;
-      const floor = this.#above(held.tokenOf(m));
-      if (proved && to !== m.share && floor !== undefined)
-        return { kind: "move", to: { ...m, share: to, endpoint, floor } };
+      if (proved || !drain) note.move = null;
+      const floor = this.#above(owned.tokenOf(m));
+      if (proved && to !== m.shard && floor !== undefined)
+        return { kind: "move", to: { ...m, shard: to, endpoint, floor } };
     }
     const blocked = (): boolean =>
-      [...replica.work(round.share).openOn(id)].some(([task, o]) => inTheWay(s, task, o.attempt));
+      [...replica.work(round.shard).openOn(id)].some(([task, o]) => inTheWay(s, task, o.attempt));
     const kept = s.sent.size > 0 && s.state === "ready";
     if (!kept) note.wantsBump = false;
     const pressing = needsBump(s) || (kept && (note.wantsBump || blocked()));
     if (pressing || (worthBump(s) && s.state === "ready")) {
-      const floor = this.#above(held.tokenOf(m));
+      const floor = this.#above(owned.tokenOf(m));
       if (floor !== undefined)
         return { kind: "put", to: { ...m, endpoint, floor }, lazyMs: pressing ? 0 : LAZY_BUMP_MS };
     }
@@ -141,11 +141,11 @@
   }
 
   /**
-   * A revision above a token that was in force: whoever commands under it, or takes the share
+   * A revision above a token that was in force: whoever commands under it, or takes the shard
    * over later, can't be taken for the one before.
    */
   #above(old: number): Revision | undefined {
-    const { latest } = this.held.ctx.replica;
+    const { latest } = this.owned.ctx.replica;
     return latest > old ? latest : undefined;
   }
 
@@ -156,9 +156,9 @@
   #join(
     pages: readonly (readonly [string, FleetPage])[],
     written: ReadonlySet<string>,
-    round: ShareRound,
+    round: ShardRound,
   ): void {
-    const { ctx } = this.held;
+    const { ctx } = this.owned;
     if (pages.length < 3) return;
     if (written.size === 0 && ctx.store.writeLevel() < JOIN_LEVEL) return;
     const most =
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -4,39 +4,45 @@
   type LeaseId,
   type Mono,
   mono,
-  type ShareNo,
-  shareNo,
+  type ShardId,
+  shardId,
 } from "../protocol/ids.js";
 import type { Txn } from "../protocol/store.js";
-import { absorb, type Context, refresh } from "../service/context.js";
-import { type Holder, holderValue, keys, sameHolder, teamsValue } from "../storage/records.js";
+import {
+  type ControllerId,
+  controllerIdValue,
+  keys,
+  sameController,
+  teamsValue,
+} from "../storage/records.js";
 import { steadyNow } from "../transport/clock.js";
+import { absorb, type Context, refresh } from "./context.js";
 import { HEALTHY, type Health, type Standing, stepHealth } from "./health.js";
-import { assignTeams, planShares } from "./shares.js";
+import { assignTeams, planShards } from "./shards.js";
 
 /** A controller that can't reach its machines stays away for this long before it tries again. */
 const RESIGNED_MS = 4000;
-/** A newcomer leaves what is without a holder to other newcomers for this long. */
+/** A newcomer leaves what is without a owner to other newcomers for this long. */
 const JOIN_MS = 600;
 /** How far back others' writes are counted. */
 const WRITES_OVER_S = 2;
 
 /** What the other controllers say of themselves. */
-export interface Words {
+export interface PeerAnswers {
   readonly served: number;
   readonly unserved: number;
 }
 
-export const NO_WORDS: Words = { served: 0, unserved: 0 };
+export const NO_ANSWERS: PeerAnswers = { served: 0, unserved: 0 };
 
-/** This controller's place among the others: its lease, its shares, its claim to leadership. */
+/** This controller's place among the others: its lease, its shards, its claim to leadership. */
 export class Membership {
   #lease: LeaseId | undefined;
   #health: Health = HEALTHY;
   /** Since it stepped aside: when to see next whether the way to the machines is open again. */
   #resignedUntil: Mono | undefined;
   #confirmedAt: Mono = mono(Number.NEGATIVE_INFINITY);
-  #words: Words = NO_WORDS;
+  #peerAnswers: PeerAnswers = NO_ANSWERS;
   #keeping = false;
   #othersWrites = 0;
   #countedAt: Mono = steadyNow();
@@ -54,7 +60,7 @@
 
   /** Has told the others that it is here. */
   joined(): boolean {
-    return sameHolder(this.ctx.replica.members.get(this.ctx.me.label)?.value, this.ctx.me);
+    return sameController(this.ctx.replica.members.get(this.ctx.me.label)?.value, this.ctx.me);
   }
 
   get standing(): Standing {
@@ -63,7 +69,7 @@
 
   /**
    * May it act for the controllers? Not once its lease must have run out while others are served:
-   * they are taking its shares, and a worker that is kept here would only lose its lease. Nor
+   * they are taking its shards, and a worker that is kept here would only lose its lease. Nor
    * after it stood still, before it knows what it still holds.
    */
   entitled(): boolean {
@@ -82,13 +88,13 @@
   }
 
   /** One look at the evidence, with the other controllers' newest word. */
-  look(words: Words): Standing {
-    this.#words = words;
+  updateStanding(answers: PeerAnswers): Standing {
+    this.#peerAnswers = answers;
     return this.#step(false);
   }
 
   /** This process stood still. */
-  woke(): void {
+  resumed(): void {
     this.#step(true);
   }
 
@@ -100,8 +106,8 @@
       refusedAt: store.refusedAt,
       unansweredAt: store.unansweredAt,
       peers: settings.seeds.length,
-      peersServed: this.#words.served,
-      peersUnserved: this.#words.unserved,
+      peersServed: this.#peerAnswers.served,
+      peersUnserved: this.#peerAnswers.unserved,
       woke,
       confirmedAt: this.#confirmedAt,
     });
@@ -115,11 +121,11 @@
     const lease = this.#lease;
     this.#lease = undefined;
     this.#resignedUntil = mono(steadyNow() + RESIGNED_MS);
-    this.ctx.log.info("resigned", { shares: this.heldShares() });
+    this.ctx.log.info("resigned", { shards: this.ownedShards() });
     if (lease !== undefined) await this.ctx.store.release(lease);
   }
 
-  /** Stays aside until machines answer again: a share given back before would fall silent anew. */
+  /** Stays aside until machines answer again: a shard given back before would fall silent anew. */
   async #mayReturn(): Promise<boolean> {
     if (this.#resignedUntil === undefined) return true;
     if (steadyNow() < this.#resignedUntil) return false;
@@ -150,7 +156,7 @@
 
   leads(): boolean {
     const l = this.ctx.replica.leader;
-    return l !== undefined && sameHolder(l.value, this.ctx.me);
+    return l !== undefined && sameController(l.value, this.ctx.me);
   }
 
   /** Leads, and knows that it still does. */
@@ -158,20 +164,20 @@
     return this.leads() && this.entitled();
   }
 
-  /** Holds the share, and has seen everything that was written before it took it. */
-  holds(share: ShareNo): boolean {
-    const s = this.ctx.replica.shares.get(share);
+  /** Holds the shard, and has seen everything that was written before it took it. */
+  holds(shard: ShardId): boolean {
+    const s = this.ctx.replica.shards.get(shard);
     return (
-      s !== undefined && sameHolder(s.value, this.ctx.me) && this.ctx.replica.position >= s.rev
+      s !== undefined && sameController(s.value, this.ctx.me) && this.ctx.replica.position >= s.rev
     );
   }
 
-  heldShares(): readonly ShareNo[] {
-    return [...this.ctx.replica.shares.keys()].filter((n) => this.holds(n));
+  ownedShards(): readonly ShardId[] {
+    return [...this.ctx.replica.shards.keys()].filter((n) => this.holds(n));
   }
 
-  holderOf(share: ShareNo): Holder | undefined {
-    return this.ctx.replica.shares.get(share)?.value;
+  ownerOf(shard: ShardId): ControllerId | undefined {
+    return this.ctx.replica.shards.get(shard)?.value;
   }
 
   async #txn(t: Txn): Promise<boolean> {
@@ -221,7 +227,7 @@
     this.#renewedAt = steadyNow();
     // What was taken meanwhile the watch may tell much later: it is read before anything is done.
     const names: string[] = [keys.leader];
-    for (let n = 0; n < settings.size; n++) names.push(keys.share(shareNo(n)));
+    for (let n = 0; n < settings.size; n++) names.push(keys.shard(shardId(n)));
     if (!this.ctx.synced || (await refresh(this.ctx, names))) this.#confirmed(askedAt);
   }
 
@@ -230,18 +236,18 @@
     if (this.#health.standing === "waking") this.#step(false);
   }
 
-  /** One look at members, shares and leadership; writes at most what this controller owes. */
-  async tend(): Promise<void> {
+  /** One look at members, shards and leadership; writes at most what this controller owes. */
+  async reconcile(): Promise<void> {
     if (this.#busy || this.#lease === undefined || !this.ctx.synced) return;
     this.#busy = true;
     try {
-      await this.#tend(this.#lease);
+      await this.#reconcile(this.#lease);
     } finally {
       this.#busy = false;
     }
   }
 
-  async #tend(lease: LeaseId): Promise<void> {
+  async #reconcile(lease: LeaseId): Promise<void> {
     const { ctx } = this;
     const { replica, me } = ctx;
     if (!this.joined()) {
@@ -249,7 +255,7 @@
       const key = keys.member(me.label);
       await this.#txn({
         conditions: [{ key, rev: replica.rev(key) }],
-        ops: [{ kind: "put", key, value: holderValue(me), lease }],
+        ops: [{ kind: "put", key, value: controllerIdValue(me), lease }],
       });
       return;
     }
@@ -261,7 +267,7 @@
       if (free) {
         const won = await this.#txn({
           conditions: [{ key: keys.leader, rev: l?.rev ?? ABSENT }],
-          ops: [{ kind: "put", key: keys.leader, value: holderValue(me), lease }],
+          ops: [{ kind: "put", key: keys.leader, value: controllerIdValue(me), lease }],
         });
         if (won) ctx.log.info("leads", {});
         return;
@@ -269,7 +275,7 @@
     }
     if (await this.#tendTeams()) return;
     const now = steadyNow();
-    const members = new Map<ControllerLabel, Holder>();
+    const members = new Map<ControllerLabel, ControllerId>();
     for (const [label, m] of replica.members) members.set(label, m.value);
     for (const key of [...this.#memberSince.keys()])
       if (![...members.values()].some((m) => m.incarnation === key)) this.#memberSince.delete(key);
@@ -280,26 +286,26 @@
       if (now - since >= ctx.operators.handBackS * 1000) steady.add(m.label);
     }
     this.#shareBudget(Math.max(1, members.size));
-    const plan = planShares({
+    const plan = planShards({
       me,
       size: ctx.settings.size,
-      shares: new Map([...replica.shares].map(([n, s]) => [n, s.value])),
+      shards: new Map([...replica.shards].map(([n, s]) => [n, s.value])),
       members,
       steady,
     });
     if (this.#joinedAt === undefined) this.#joinedAt = now;
     for (const a of plan) {
       // When several start together, the first must not take what the others are about to: each
-      // share that has to be handed over again stands still for a while.
-      const own = replica.shares.get(a.share)?.value.label === me.label;
+      // shard that has to be handed over again stands still for a while.
+      const own = replica.shards.get(a.shard)?.value.label === me.label;
       if (a.kind === "claim" && !own && now - this.#joinedAt < JOIN_MS) continue;
-      const key = keys.share(a.share);
+      const key = keys.shard(a.shard);
       const to = a.kind === "claim" ? me : a.to;
       const done = await this.#txn({
         conditions: [{ key, rev: replica.rev(key) }],
-        ops: [{ kind: "put", key, value: holderValue(to) }],
+        ops: [{ kind: "put", key, value: controllerIdValue(to) }],
       });
-      if (done) ctx.log.info(a.kind, { share: a.share, to: to.label });
+      if (done) ctx.log.info(a.kind, { shard: a.shard, to: to.label });
     }
   }
 
--- a/src/coordination/notes.ts
+++ b/src/coordination/notes.ts
@@ -1,7 +1,7 @@
-import { type JobId, type MachineId, type Mono, mono, type ShareNo } from "../protocol/ids.js";
+import { type JobId, type MachineId, type Mono, mono, type ShardId } from "../protocol/ids.js";
 
 /**
- * What a holder remembers beside the records. All of it may be lost with the process: it steers
+ * What a owner remembers beside the records. All of it may be lost with the process: it steers
  * choices and never proves anything.
  */
 export type StopReason = "preempted" | "moved" | "notice" | "unfit";
@@ -28,8 +28,8 @@
   failures: number;
   /** Returned once its open attempts are closed, or at once if `force`. */
   retire: { readonly reason: string; readonly force: boolean } | null;
-  /** A share that the leader wants it for. */
-  move: { readonly to: ShareNo; readonly vacate: boolean; readonly until: Mono } | null;
+  /** A shard that the leader wants it for. */
+  move: { readonly to: ShardId; readonly drain: boolean; readonly until: Mono } | null;
   directBusy: boolean;
   directAgain: boolean;
   /** The last time a call of ours was sent there. */
@@ -37,8 +37,8 @@
   /** Calls of ours in a row without an answer, and nothing heard in between. */
   failedCalls: number;
   /** The same whatever was heard in between, and since when: reports alone prove no way to it. */
-  deafCalls: number;
-  deafSince: Mono;
+  unreachableCalls: number;
+  unreachableSince: Mono;
   /**
    * The last report that it sent by itself, since it is held here. One that answers calls and
    * reports nothing is mute: its lease runs out whatever we tell it.
@@ -58,17 +58,17 @@
   directAgain: false,
   calledAt: mono(0),
   failedCalls: 0,
-  deafCalls: 0,
-  deafSince: mono(0),
+  unreachableCalls: 0,
+  unreachableSince: mono(0),
   reportedAt: null,
   wantsBump: false,
 });
 
 /** Forgets what was held against a machine for not being heard or not answering. */
-export const clearDoubts = (n: MachineNote): void => {
+export const resetSuspicion = (n: MachineNote): void => {
   n.failedCalls = 0;
-  n.deafCalls = 0;
-  n.deafSince = mono(0);
+  n.unreachableCalls = 0;
+  n.unreachableSince = mono(0);
   n.reportedAt = null;
 };
 
--- a/src/coordination/awake.ts
+++ b/src/coordination/pause-detector.ts
@@ -4,7 +4,7 @@
  * Notices that this process stood still, or was starved for as long: its clocks ran on, and what
  * they say of others' silence meanwhile says nothing of the others.
  */
-export class Awake {
+export class PauseDetector {
   #seenAt: Mono;
   /** How often it stood still, for the logs. */
   pauses = 0;
@@ -17,7 +17,7 @@
   }
 
   /** Called wherever something begins, and several times a second. The length of a pause, or 0. */
-  look(now: Mono): number {
+  detect(now: Mono): number {
     const gapMs = now - this.#seenAt;
     this.#seenAt = mono(now);
     if (gapMs <= this.mostMs) return 0;
--- a/src/coordination/placement-round.ts
+++ b/src/coordination/placement-round.ts
@@ -25,10 +25,10 @@
 import { type LiveJob, type OpenAttempt, waitingCount } from "../storage/records.js";
 import { timeOfDay } from "../transport/clock.js";
 import { pageLimit } from "./batch.js";
-import type { ShareRound } from "./closing.js";
-import type { Held } from "./held.js";
+import type { ShardRound } from "./closing.js";
 import { placesOf, zoneCounts } from "./places.js";
 import { PreemptionRound } from "./preemption-round.js";
+import type { ShardState } from "./shard-state.js";
 
 /** How much of a page the open attempts of one job may fill. */
 const PAGE_PART = 0.9;
@@ -67,19 +67,19 @@
   readonly #cached = new Map<string, boolean>();
 
   constructor(
-    private readonly held: Held,
-    private readonly round: ShareRound,
+    private readonly owned: ShardState,
+    private readonly round: ShardRound,
     edited: ReadonlySet<MachineId>,
   ) {
-    const { index } = held.ctx.replica.work(round.share);
-    this.#places = placesOf(held, round.share, round.closed, edited);
-    this.#withinGuarantee = new Set(index.withinGuarantee(held.ctx.teams.values()));
-    this.#preemption = new PreemptionRound(held, round, this.#withinGuarantee, this.#places);
+    const { index } = owned.ctx.replica.work(round.shard);
+    this.#places = placesOf(owned, round.shard, round.closed, edited);
+    this.#withinGuarantee = new Set(index.withinGuarantee(owned.ctx.teams.values()));
+    this.#preemption = new PreemptionRound(owned, round, this.#withinGuarantee, this.#places);
   }
 
   /** Whether any task of the shard waits once this round is written. */
-  static needed(held: Held, round: ShareRound): boolean {
-    return !waitingJobs(held, round).next().done;
+  static needed(owned: ShardState, round: ShardRound): boolean {
+    return !waitingJobs(owned, round).next().done;
   }
 
   run(): void {
@@ -89,21 +89,21 @@
   }
 
   #queue(): readonly Queued[] {
-    const { held, round } = this;
-    const { replica, settings, operators } = held.ctx;
+    const { owned, round } = this;
+    const { replica, settings, operators } = owned.ctx;
     const at = timeOfDay();
     const rates = (replica.types?.value ?? []).map((t) => t.fetchGbPerS);
     const rate = rates.reduce((sum, r) => sum + r, 0) / Math.max(1, rates.length);
     const waiting: Waiting[] = [];
-    for (const [id, job] of waitingJobs(held, round)) {
-      if ((held.jobs.get(id)?.notBefore ?? 0) > round.now) continue;
+    for (const [id, job] of waitingJobs(owned, round)) {
+      if ((owned.jobs.get(id)?.notBefore ?? 0) > round.now) continue;
       const { image, imageGb } = job.spec;
       waiting.push({
         id,
         job,
         ageS: (at - job.acceptedAt) / 1000,
         leadS: rate > 0 && !this.#mostlyCached(image) ? imageGb / rate : 0,
-        runS: held.runS(job.spec),
+        runS: owned.runS(job.spec),
         withinGuarantee: this.#withinGuarantee.has(id),
       });
     }
@@ -114,16 +114,16 @@
   #mostlyCached(image: string): boolean {
     const known = this.#cached.get(image);
     if (known !== undefined) return known;
-    let holders = 0;
-    for (const place of this.#places.values()) if (place.images.has(image)) holders++;
-    const cached = 2 * holders > this.#places.size;
+    let owners = 0;
+    for (const place of this.#places.values()) if (place.images.has(image)) owners++;
+    const cached = 2 * owners > this.#places.size;
     this.#cached.set(image, cached);
     return cached;
   }
 
   /** What each team's open attempts take once the closings of this round are written. */
   #teamUse(): Map<TeamName, Resources> {
-    const work = this.held.ctx.replica.work(this.round.share);
+    const work = this.owned.ctx.replica.work(this.round.shard);
     const use = work.index.openUse();
     for (const [id, draft] of this.round.drafts) {
       const closed = (work.jobs.get(id)?.open.length ?? 0) - draft.open.length;
@@ -134,14 +134,14 @@
   }
 
   #turn(queued: Queued): Turn {
-    const { held } = this;
+    const { owned } = this;
     const { job, id } = queued;
     const { spec } = job;
-    const failedOn = held.jobs.get(id)?.failedOn ?? NO_FAILURES;
-    const targets = targetsOf(spec, held.ctx.settings.objectives, queued.withinGuarantee);
+    const failedOn = owned.jobs.get(id)?.failedOn ?? NO_FAILURES;
+    const targets = targetsOf(spec, owned.ctx.settings.objectives, queued.withinGuarantee);
     return {
       queued,
-      zones: zoneCounts(held, job),
+      zones: zoneCounts(owned, job),
       selector: failedOn.size > 0 ? this.#selectorWithout(spec, failedOn) : this.#selector(spec),
       failedOn,
       hurryS: hurryS(targets, queued.ageS),
@@ -150,7 +150,7 @@
     };
   }
 
-  /** Jobs that are alike share one, with all that it has worked out of the machines. */
+  /** Jobs that are alike have one together, with all that it has worked out of the machines. */
   #selector(spec: JobSpec): PlaceSelector {
     const key = placementGroup(spec);
     const known = this.#selectors.get(key);
@@ -167,7 +167,7 @@
 
   /** False if the batch is full. */
   #placeJob(queued: Queued, use: Map<TeamName, Resources>): boolean {
-    const { ctx } = this.held;
+    const { ctx } = this.owned;
     const { job, id } = queued;
     const { spec } = job;
     const team = ctx.teams.get(spec.team);
@@ -190,7 +190,7 @@
       if (outcome.kind === "stop") break;
       if (outcome.kind === "wait") continue;
       const { place } = outcome;
-      this.held.incoming.delete(task);
+      this.owned.incoming.delete(task);
       const attempt: AttemptNo = attemptNo(next);
       bytes += openBytes({ index, attempt });
       if (!named.has(place.id)) bytes += machineNameBytes(place.id);
@@ -218,10 +218,10 @@
 
   /** False if the batch is full. A cancel that comes first must win. */
   #write(id: JobId, rev: Revision, draft: LiveJob): boolean {
-    const { batch, share, drafts } = this.round;
+    const { batch, shard, drafts } = this.round;
     const { done, open, nextAttempt } = draft;
     if (!batch.requireJob(id, rev)) return false;
-    if (!batch.putJob(share, id, { done, open, nextAttempt })) return false;
+    if (!batch.putJob(shard, id, { done, open, nextAttempt })) return false;
     drafts.set(id, draft);
     return true;
   }
@@ -254,11 +254,11 @@
 
   /** No machine has room: what may be stopped for the task is, and the room kept for it. */
   #makeRoom(task: TaskId, turn: Turn): Outcome {
-    const { held } = this;
-    const { ctx } = held;
+    const { owned } = this;
+    const { ctx } = owned;
     const { queued } = turn;
     if (queued.slack > ctx.operators.preemptSlackS || ctx.store.failing()) return STOP;
-    if (held.incoming.has(task)) return WAIT;
+    if (owned.incoming.has(task)) return WAIT;
     if (this.#preemption.exhausted) return STOP;
     turn.search ??= this.#preemption.search(queued, turn.zones, turn.failedOn);
     if (turn.search === undefined) return STOP;
@@ -267,40 +267,40 @@
 
   /** The only place is held up by an exit that is kept: the machine's token must rise for it. */
   #raiseToken(place: Place): void {
-    const note = this.held.note(place.id);
-    if (!note.wantsBump) this.held.disturbed.add(place.id);
+    const note = this.owned.note(place.id);
+    if (!note.wantsBump) this.owned.disturbed.add(place.id);
     note.wantsBump = true;
   }
 
   #lingers(task: TaskId, place: Place): boolean {
-    return this.held.sessions.get(place.id)?.tasks.has(task) === true;
+    return this.owned.sessions.get(place.id)?.tasks.has(task) === true;
   }
 
   /** The place kept for a task, if it fits there by now; its own keeping is no obstacle. */
   #reservedPlace(task: TaskId, turn: Turn): Place | null {
     const { spec } = turn.queued.job;
-    const reservation = this.held.incoming.get(task);
+    const reservation = this.owned.incoming.get(task);
     const place = reservation === undefined ? undefined : this.#places.get(reservation.to);
     if (place === undefined || !permitted(spec, place, turn.zones)) return null;
     const without = minus(place.use, spec.needs);
     if (!fitsBeside(spec.needs, without, place.capacity)) return null;
     place.use = without;
-    this.held.incoming.delete(task);
+    this.owned.incoming.delete(task);
     return place;
   }
 
   #noteStarts(queued: Queued, draft: LiveJob, starts: readonly OpenAttempt[]): void {
-    const { held, round } = this;
-    const { ctx } = held;
+    const { owned, round } = this;
+    const { ctx } = owned;
     const { spec } = draft;
-    held.counters.starts += starts.length;
+    owned.counters.starts += starts.length;
     for (const o of starts) round.call.add(o.machine);
     ctx.metrics.record(`start ${spec.jobClass}`, queued.ageS * 1000);
     if (!ctx.log.enabled("debug")) return;
     ctx.log.debug("starts", {
       job: queued.id,
       jobClass: spec.jobClass,
-      share: round.share,
+      shard: round.shard,
       tasks: spec.tasks,
       starts: starts.length,
       waiting: waitingCount(draft),
@@ -311,8 +311,11 @@
 }
 
 /** Jobs of the shard with tasks that wait, as this round writes them. */
-function* waitingJobs(held: Held, round: ShareRound): Generator<readonly [JobId, LiveJob], void> {
-  const { waiting } = held.ctx.replica.work(round.share).index;
+function* waitingJobs(
+  owned: ShardState,
+  round: ShardRound,
+): Generator<readonly [JobId, LiveJob], void> {
+  const { waiting } = owned.ctx.replica.work(round.shard).index;
   for (const [id, job] of waiting) if (!round.drafts.has(id)) yield [id, job];
   for (const [id, job] of round.drafts) if (waitingCount(job) > 0) yield [id, job];
 }
--- a/src/coordination/places.ts
+++ b/src/coordination/places.ts
@@ -1,11 +1,11 @@
-import { type MachineId, type ShareNo, splitTask, type TaskId } from "../protocol/ids.js";
+import { type MachineId, type ShardId, splitTask, type TaskId } from "../protocol/ids.js";
 import type { Resources } from "../protocol/jobs.js";
 import { contenders, distinctNeeds, occupy, type Place } from "../scheduling/placement.js";
 import { ENDLESS, lesser, NOTHING, plus } from "../scheduling/resources.js";
 import type { LiveJob, MachineRecord } from "../storage/records.js";
-import type { ShareWork } from "../storage/work.js";
+import type { ShardJobs } from "../storage/shard-jobs.js";
 import { steadyNow } from "../transport/clock.js";
-import type { Held } from "./held.js";
+import type { ShardState } from "./shard-state.js";
 
 /** How long a place is kept for a task that moves. */
 export const RESERVATION_MS = 10_000;
@@ -18,24 +18,24 @@
 const NO_TASKS: ReadonlySet<TaskId> = new Set();
 
 /** Where a job's other open attempts stand, as `oneZone` and `apart` judge them. */
-export const zoneCounts = (held: Held, job: LiveJob): Map<string, number> => {
+export const zoneCounts = (owned: ShardState, job: LiveJob): Map<string, number> => {
   const zones = new Map<string, number>();
   if (!job.spec.oneZone && !job.spec.apart) return zones;
   for (const o of job.open) {
-    const zone = held.ctx.replica.machines.get(o.machine)?.zone ?? "";
+    const zone = owned.ctx.replica.machines.get(o.machine)?.zone ?? "";
     zones.set(zone, (zones.get(zone) ?? 0) + 1);
   }
   return zones;
 };
 
 /** Whether a machine of the shard may be given tasks. */
-const takesTasks = (held: Held, id: MachineId, machine: MachineRecord): boolean => {
-  const session = held.sessions.get(id);
-  if (machine.stage !== "up" || held.ctx.replica.isGone(id)) return false;
+const takesTasks = (owned: ShardState, id: MachineId, machine: MachineRecord): boolean => {
+  const session = owned.sessions.get(id);
+  if (machine.stage !== "up" || owned.ctx.replica.isGone(id)) return false;
   if (session?.state !== "ready" || session.report?.noticeS != null) return false;
-  const note = held.note(id);
+  const note = owned.note(id);
   if (note.retire !== null || note.move !== null) return false;
-  return note.deafCalls <= MOST_UNANSWERED && !held.unheard(id, steadyNow());
+  return note.unreachableCalls <= MOST_UNANSWERED && !owned.heartbeatOverdue(id, steadyNow());
 };
 
 interface Occupancy {
@@ -44,11 +44,11 @@
 }
 
 /** What stood on machines when they were last looked at: it is added up again only after a change. */
-const known = new WeakMap<ShareWork, Map<MachineId, Occupancy & { readonly changes: number }>>();
+const known = new WeakMap<ShardJobs, Map<MachineId, Occupancy & { readonly changes: number }>>();
 
 /** What stands on a machine once the closings of this round are written. */
 const occupancyOn = (
-  work: ShareWork,
+  work: ShardJobs,
   id: MachineId,
   closed: ReadonlySet<TaskId> | undefined,
 ): Occupancy => {
@@ -64,7 +64,7 @@
   return now;
 };
 
-const addUp = (work: ShareWork, id: MachineId, closed: ReadonlySet<TaskId>): Occupancy => {
+const addUp = (work: ShardJobs, id: MachineId, closed: ReadonlySet<TaskId>): Occupancy => {
   let use = NOTHING;
   let least = ENDLESS;
   for (const [task, o] of work.openOn(id)) {
@@ -78,13 +78,13 @@
 
 /** Machines of the shard that take tasks, with what stands on them once this round is written. */
 export const placesOf = (
-  held: Held,
-  share: ShareNo,
+  owned: ShardState,
+  shard: ShardId,
   closed: ReadonlyMap<MachineId, ReadonlySet<TaskId>>,
   edited: ReadonlySet<MachineId>,
 ): Map<MachineId, Place> => {
-  const { replica } = held.ctx;
-  const work = replica.work(share);
+  const { replica } = owned.ctx;
+  const work = replica.work(shard);
   const out = new Map<MachineId, Place>();
   const perCpu = (price: number, cpus: number): number => price / Math.max(1, cpus);
   const types = replica.types?.value ?? [];
@@ -93,11 +93,11 @@
     types.map((type) => [type.name, { type, rivals: contenders(type.capacity, shapes) }]),
   );
   const cheapest = Math.min(...types.map((t) => perCpu(t.spotPrice, t.capacity.cpus)));
-  for (const id of held.sessions.keys()) {
+  for (const id of owned.sessions.keys()) {
     const machine = replica.machines.get(id);
-    if (machine === undefined || machine.share !== share || edited.has(id)) continue;
+    if (machine === undefined || machine.shard !== shard || edited.has(id)) continue;
     const known = byName.get(machine.type);
-    if (known === undefined || !takesTasks(held, id, machine)) continue;
+    if (known === undefined || !takesTasks(owned, id, machine)) continue;
     const { use, least } = occupancyOn(work, id, closed.get(id));
     const price = machine.spot ? known.type.spotPrice : known.type.price;
     out.set(id, {
@@ -111,11 +111,11 @@
       price,
       dear: perCpu(price, known.type.capacity.cpus) > DEAR * cheapest,
       fetchGbPerS: known.type.fetchGbPerS,
-      images: held.note(id).images,
+      images: owned.note(id).images,
       contenders: known.rivals,
     });
   }
-  for (const [task, reservation] of held.incoming) {
+  for (const [task, reservation] of owned.incoming) {
     const place = out.get(reservation.to);
     const needs = work.jobs.get(splitTask(task).job)?.spec.needs;
     if (place !== undefined && needs !== undefined) occupy(place, needs);
--- a/src/coordination/preemption-round.ts
+++ b/src/coordination/preemption-round.ts
@@ -21,9 +21,9 @@
 import { fits, minus, plus } from "../scheduling/resources.js";
 import type { LiveJob } from "../storage/records.js";
 import { timeOfDay } from "../transport/clock.js";
-import type { ShareRound } from "./closing.js";
-import type { Held } from "./held.js";
+import type { ShardRound } from "./closing.js";
 import { RESERVATION_MS } from "./places.js";
+import type { ShardState } from "./shard-state.js";
 
 /** Most tasks a round makes room for. */
 const MOST_A_ROUND = 24;
@@ -40,8 +40,8 @@
   readonly #searches = new Map<string, PreemptionSearch>();
 
   constructor(
-    private readonly held: Held,
-    private readonly round: ShareRound,
+    private readonly owned: ShardState,
+    private readonly round: ShardRound,
     private readonly withinGuarantee: ReadonlySet<JobId>,
     private readonly places: ReadonlyMap<MachineId, Place>,
   ) {}
@@ -72,7 +72,7 @@
           // Whatever is started or kept room for on the machine changes its use.
           version: () => place.use,
         });
-    const { preemptMaxLossS } = this.held.ctx.operators;
+    const { preemptMaxLossS } = this.owned.ctx.operators;
     const search = new PreemptionSearch(spec.needs, sources, preemptMaxLossS);
     if (shared) this.#searches.set(group, search);
     return search;
@@ -80,8 +80,8 @@
 
   /** Stops what loses least to make room for a task, and keeps the room for it. False: there is none. */
   make(task: TaskId, by: Queued, search: PreemptionSearch): boolean {
-    const { held, round } = this;
-    const work = held.ctx.replica.work(round.share);
+    const { owned, round } = this;
+    const work = owned.ctx.replica.work(round.shard);
     const room = search.take();
     if (room === null) return false;
     this.#made++;
@@ -89,14 +89,14 @@
       const o = work.openOn(room.machine).get(victim.task);
       const job = o === undefined ? undefined : work.jobs.get(o.job);
       if (o === undefined || job === undefined) continue;
-      held.stop(o.key, room.machine, "preempted", job.spec.saveS);
-      held.counters.preempted++;
+      owned.stop(o.key, room.machine, "preempted", job.spec.saveS);
+      owned.counters.preempted++;
     }
     const place = this.places.get(room.machine);
     // The victims' room is not free before they are gone: the newcomer's need comes on top.
     if (place !== undefined) occupy(place, by.job.spec.needs);
     search.noted(room.machine);
-    held.keep(task, room.machine, RESERVATION_MS);
+    owned.keep(task, room.machine, RESERVATION_MS);
     round.call.add(room.machine);
     return true;
   }
@@ -107,15 +107,15 @@
   }
 
   #candidate(by: Queued, place: Place): PreemptionCandidate | undefined {
-    const { held, round } = this;
-    const work = held.ctx.replica.work(round.share);
+    const { owned, round } = this;
+    const work = owned.ctx.replica.work(round.shard);
     const standing = this.#standing(by.id, by.job.spec);
     const victims: Victim[] = [];
     let free = minus(place.capacity, place.use);
     for (const [task, o] of work.openOn(place.id)) {
       const job = work.jobs.get(o.job);
       if (job === undefined) continue;
-      const note = held.attempts.get(o.key);
+      const note = owned.attempts.get(o.key);
       const { needs, saveS } = job.spec;
       // On its way out: its room may be kept for somebody, but is not there to start on yet.
       if (job.cancelledAt !== null || note?.stop != null) {
@@ -123,7 +123,7 @@
         continue;
       }
       if (!mayPreempt(standing, this.#standing(o.job, job.spec))) continue;
-      const lossS = held.lossS(job, note, round.now) + saveS + this.#surchargeOf(o.job, job);
+      const lossS = owned.lossS(job, note, round.now) + saveS + this.#surchargeOf(o.job, job);
       victims.push({ task, needs, lossS });
     }
     if (victims.length === 0 && !fits(by.job.spec.needs, free)) return undefined;
@@ -137,10 +137,10 @@
   #surchargeOf(id: JobId, job: LiveJob): number {
     const known = this.#surcharge.get(id);
     if (known !== undefined) return known;
-    const { operators, settings } = this.held.ctx;
+    const { operators, settings } = this.owned.ctx;
     const targets = targetsOf(job.spec, settings.objectives, this.withinGuarantee.has(id));
     const ageS = (timeOfDay() - job.acceptedAt) / 1000;
-    const slack = slackS(targets, ageS, this.held.runS(job.spec));
+    const slack = slackS(targets, ageS, this.owned.runS(job.spec));
     const surcharge = Math.max(0, operators.spareSlackS - slack);
     this.#surcharge.set(id, surcharge);
     return surcharge;
--- a/src/coordination/session.ts
+++ b/src/coordination/session.ts
@@ -2,19 +2,19 @@
 import type { Order, Report, TaskReport } from "../protocol/workers.js";
 
 /**
- * What a share's holder knows of one machine it holds.
+ * What a shard's owner knows of one machine it holds.
  *
  * `unheard`: no report yet since we took it. `claiming`: heard, but its highest token is below
- * ours, so an earlier holder's commands may still be carried out and nothing may be started or
+ * ours, so an earlier owner's commands may still be carried out and nothing may be started or
  * believed absent. `ready`: it has shown our token: no older command can be executed, and its
- * newest report is the whole truth. `mute`: was heard, but is silent for too long.
+ * newest report is the whole truth. `silent`: was heard, but is silent for too long.
  */
-export type SessionState = "unheard" | "claiming" | "ready" | "mute";
+export type SessionState = "unheard" | "claiming" | "ready" | "silent";
 
 /** How an attempt's start command went out, for telling whether it can still be on its way. */
 export interface Sent {
-  /** The count of beats when a beat's answer carried it; settled by any later beat. */
-  readonly beatMark?: number;
+  /** The count of heartbeats when a beat's answer carried it; settled by any later beat. */
+  readonly heartbeatMark?: number;
   readonly direct?: "pending" | "answered" | "lost";
   /** The token it was sent under. */
   readonly token: Token;
@@ -26,7 +26,7 @@
   readonly report: Report | undefined;
   readonly tasks: ReadonlyMap<TaskId, TaskReport>;
   readonly heardAt: Mono;
-  readonly beats: number;
+  readonly heartbeats: number;
   readonly sent: ReadonlyMap<string, Sent>;
 }
 
@@ -36,28 +36,28 @@
   | {
       readonly kind: "report";
       readonly report: Report;
-      readonly via: "beat" | "direct";
+      readonly via: "heartbeat" | "direct";
       readonly now: Mono;
     }
-  | { readonly kind: "answered_beat"; readonly starts: readonly string[] }
+  | { readonly kind: "answered_heartbeat"; readonly starts: readonly string[] }
   | { readonly kind: "direct_sent"; readonly starts: readonly string[] }
   | { readonly kind: "direct_answered"; readonly starts: readonly string[] }
   | { readonly kind: "direct_unsent"; readonly starts: readonly string[] }
   | { readonly kind: "direct_lost"; readonly starts: readonly string[] }
   | { readonly kind: "silence" }
-  /** The holder was away itself: what it did not hear meanwhile says nothing. */
+  /** The owner was away itself: what it did not hear meanwhile says nothing. */
   | { readonly kind: "anew"; readonly now: Mono };
 
 const NO_TASKS: ReadonlyMap<TaskId, TaskReport> = new Map();
 const NO_SENT: ReadonlyMap<string, Sent> = new Map();
 
-export const newSession = (held: Token, now: Mono): Session => ({
+export const newSession = (owned: Token, now: Mono): Session => ({
   state: "unheard",
-  token: held,
+  token: owned,
   report: undefined,
   tasks: NO_TASKS,
   heardAt: now,
-  beats: 0,
+  heartbeats: 0,
   sent: NO_SENT,
 });
 
@@ -103,7 +103,7 @@
     report,
     tasks: new Map(report.tasks.map((t) => [t.task, t])),
     heardAt: e.now,
-    beats: e.via === "beat" ? s.beats + 1 : s.beats,
+    heartbeats: e.via === "heartbeat" ? s.heartbeats + 1 : s.heartbeats,
     sent,
   };
   // What is settled need not be remembered, or it grows with every task ever started there; but
@@ -126,8 +126,8 @@
       };
     case "report":
       return hear(s, e);
-    case "answered_beat":
-      return mark(s, e.starts, (old) => ({ ...old, beatMark: s.beats, token: s.token }));
+    case "answered_heartbeat":
+      return mark(s, e.starts, (old) => ({ ...old, heartbeatMark: s.heartbeats, token: s.token }));
     case "direct_sent":
       return mark(s, e.starts, (old) => ({ ...old, direct: "pending", token: s.token }));
     case "direct_answered":
@@ -136,8 +136,8 @@
       );
     case "direct_unsent":
       return mark(s, e.starts, (old) => {
-        if (old === undefined || old.beatMark === undefined) return undefined;
-        return { beatMark: old.beatMark, token: old.token };
+        if (old === undefined || old.heartbeatMark === undefined) return undefined;
+        return { heartbeatMark: old.heartbeatMark, token: old.token };
       });
     case "direct_lost":
       // It may be executed minutes later: only a higher token, seen, settles it.
@@ -145,7 +145,7 @@
         old === undefined ? undefined : { ...old, direct: "lost" },
       );
     case "silence":
-      return s.state === "mute" ? s : { ...s, state: "mute" };
+      return s.state === "silent" ? s : { ...s, state: "silent" };
     case "anew":
       return { ...s, heardAt: e.now };
   }
@@ -156,7 +156,7 @@
   const x = s.sent.get(key);
   if (x === undefined) return true;
   if (x.direct === "pending" || x.direct === "lost") return false;
-  return x.beatMark === undefined || s.beats > x.beatMark;
+  return x.heartbeatMark === undefined || s.heartbeats > x.heartbeatMark;
 };
 
 /**
@@ -198,7 +198,7 @@
   return false;
 };
 
-/** What an open attempt's holder may conclude from a machine's newest report. */
+/** What an open attempt's owner may conclude from a machine's newest report. */
 export type Finding =
   | { readonly kind: "unknown" }
   /** Not there, and no command for it can still be on its way. */
@@ -207,11 +207,16 @@
   | { readonly kind: "unsettled" }
   | { readonly kind: "present"; readonly report: TaskReport };
 
-export const findAttempt = (s: Session, task: TaskId, attempt: AttemptNo): Finding => {
+export const findAttempt = (
+  s: Session,
+  task: TaskId,
+  attempt: AttemptNo,
+  key = attemptKey(task, attempt),
+): Finding => {
   if (s.state !== "ready") return { kind: "unknown" };
   const t = s.tasks.get(task);
   if (t !== undefined && t.attempt === attempt) return { kind: "present", report: t };
-  return { kind: settled(s, attemptKey(task, attempt)) ? "absent" : "unsettled" };
+  return { kind: settled(s, key) ? "absent" : "unsettled" };
 };
 
 /** An attempt that the records hold open on this machine, and what is wanted of it. */
--- a/src/coordination/holder.ts
+++ b/src/coordination/shard-owner.ts
@@ -1,24 +1,25 @@
 import { type MachineId, type Mono, mono, revision } from "../protocol/ids.js";
 import type { MoveRequest } from "../protocol/peer.js";
 import type { Report } from "../protocol/workers.js";
-import { absorb, type Context, refresh } from "../service/context.js";
 import { classify } from "../storage/records.js";
 import type { Calls } from "../transport/client.js";
 import { steadyNow } from "../transport/clock.js";
 import type { Answer } from "../transport/server.js";
 import { Batch } from "./batch.js";
-import { closeAttempts, type ShareRound } from "./closing.js";
-import { Held } from "./held.js";
-import { MachineRecords } from "./machines.js";
+import { closeAttempts, type ShardRound } from "./closing.js";
+import { absorb, type Context, refresh } from "./context.js";
+import { MachineRecords } from "./machine-records.js";
 import type { Membership } from "./membership.js";
 import { PlacementRound } from "./placement-round.js";
+import { ShardState } from "./shard-state.js";
 import { swarmPeriod } from "./swarm-period.js";
-import { WorkerDealings } from "./workers.js";
+import { WorkerChannel } from "./worker-channel.js";
 
 /** How long a request of the leader's stands. */
 const MOVE_MS = 10_000;
-/** How often all open attempts are looked at, whether or not anything was heard of them. */
+/** How often, and how many machines at a time, are looked at though nothing was heard of them. */
 const SWEEP_MS = 1000;
+const SWEEP_MOST = 128;
 /** How long ends of tasks may wait for company, if nothing else is to be written. */
 const LAZY_MS = 700;
 /** A round is decided once this many changes may be written; a larger one is paid off after. */
@@ -31,13 +32,15 @@
 /** What to do after a round: another at once, one after a pause, or one when something happens. */
 export type Next = "again" | "idle" | { readonly pauseMs: number };
 
-/** Runs the shares held here, in rounds: look, decide, commit, send. */
-export class Holder {
-  readonly held: Held;
-  readonly dealings: WorkerDealings;
+/** Runs the shards held here, in rounds: look, decide, commit, send. */
+export class ShardOwner {
+  readonly owned: ShardState;
+  readonly channel: WorkerChannel;
   readonly #records: MachineRecords;
   #committing = false;
   #swarmAt: Mono = steadyNow();
+  /** Machines that have yet to be looked at in turn. */
+  #sweep: MachineId[] = [];
   #sweptAt: Mono = mono(Number.NEGATIVE_INFINITY);
   #turn = 0;
   #lazySince: Mono | undefined;
@@ -50,83 +53,83 @@
     workers: Calls,
     wake: () => void,
   ) {
-    this.held = new Held(ctx, membership, wake);
-    this.dealings = new WorkerDealings(this.held, workers);
-    this.#records = new MachineRecords(this.held);
+    this.owned = new ShardState(ctx, membership, wake);
+    this.channel = new WorkerChannel(this.owned, workers);
+    this.#records = new MachineRecords(this.owned);
   }
 
-  beat(body: unknown, adopt: (r: Report) => void): Answer {
-    this.look();
-    return this.dealings.beat(body, adopt);
+  heartbeat(body: unknown, adopt: (r: Report) => void): Answer {
+    this.detectPause();
+    return this.channel.heartbeat(body, adopt);
   }
 
   /**
    * Called wherever something begins. After this process stood still it holds nobody's silence
    * against him, and acts on nothing until the state service has shown what it still holds.
    */
-  look(): void {
+  detectPause(): void {
     const now = steadyNow();
-    const pauseMs = this.ctx.awake.look(now);
+    const pauseMs = this.ctx.pauses.detect(now);
     if (pauseMs === 0) return;
-    this.ctx.log.info("stood still", { forMs: Math.round(pauseMs) });
-    this.membership.woke();
-    this.dealings.startAnew(now);
+    this.ctx.log.info("process paused", { forMs: Math.round(pauseMs) });
+    this.membership.resumed();
+    this.channel.startAnew(now);
   }
 
   // ---- Requests of the leader ---------------------------------------------------------------
 
   requestMove(m: MoveRequest): void {
-    if (!this.held.sessions.has(m.machine)) return;
+    if (!this.owned.sessions.has(m.machine)) return;
     const until = mono(steadyNow() + MOVE_MS);
-    this.held.note(m.machine).move = { to: m.to, vacate: m.vacate, until };
-    this.held.wake();
+    this.owned.note(m.machine).move = { to: m.to, drain: m.drain, until };
+    this.owned.wake();
   }
 
   /** Without a reason it is surplus, and goes once it is empty; else it is lost, and goes at once. */
   requestRetire(id: MachineId, reason?: string): void {
-    if (!this.held.sessions.has(id)) return;
-    const note = this.held.note(id);
+    if (!this.owned.sessions.has(id)) return;
+    const note = this.owned.note(id);
     if (reason !== undefined && reason !== "") note.retire = { reason, force: true };
     else note.retire ??= { reason: "surplus", force: false };
-    this.held.wake();
+    this.owned.wake();
   }
 
   // ---- Rounds -------------------------------------------------------------------------------
 
   async round(): Promise<Next> {
-    this.look();
+    this.detectPause();
     if (this.#committing || !this.ctx.synced || !this.membership.entitled()) return "idle";
     this.#committing = true;
     try {
       return await this.#round();
     } finally {
       this.#committing = false;
-      this.held.closing.clear();
+      this.owned.closing.clear();
     }
   }
 
   async #round(): Promise<Next> {
-    const { ctx, held } = this;
+    const { ctx, owned } = this;
     const now = steadyNow();
-    held.sync(now);
-    this.dealings.watchSilence(now);
-    const shares = this.membership.heldShares();
-    if (shares.length === 0) return "idle";
+    owned.sync(now);
+    this.channel.watchSilence(now);
+    const shards = this.membership.ownedShards();
+    if (shards.length === 0) return "idle";
     if (this.ctx.replica.position < this.#catchUp) return { pauseMs: CATCH_UP_MS };
     const pauseMs = ctx.store.writeWaitMs(LEAST_WRITES);
     if (pauseMs > 0) return { pauseMs };
-    for (const [task, x] of held.incoming) if (x.until <= now) held.incoming.delete(task);
-    this.#heedNotices(now);
+    for (const [task, x] of owned.incoming) if (x.until <= now) owned.incoming.delete(task);
+    this.#handleSpotNotices(now);
     // What is stopped to make room could not be started again while nothing can be written.
     const writes = !ctx.store.failing();
-    if (writes) this.#vacate(now);
+    if (writes) this.#drainRequested(now);
     if (writes && now - this.#swarmAt >= ctx.operators.swarmPeriodS * 1000) {
       this.#swarmAt = now;
-      for (const share of shares) swarmPeriod(held, share, now);
+      for (const shard of shards) swarmPeriod(owned, shard, now);
     }
-    const { batch, call, closedKeys, looked } = this.#decide(shares, now);
+    const { batch, call, closedKeys, looked } = this.#decide(shards, now);
     const callAll = (): void => {
-      for (const id of call) this.dealings.callMachine(id, true);
+      for (const id of call) this.channel.callMachine(id, true);
     };
     if (batch.empty) {
       callAll();
@@ -137,7 +140,7 @@
       this.#lazySince ??= now;
       const waitMs = LAZY_MS - (now - this.#lazySince);
       if (waitMs > 0) {
-        for (const id of looked) held.disturbed.add(id);
+        for (const id of looked) owned.disturbed.add(id);
         callAll();
         return { pauseMs: waitMs };
       }
@@ -145,7 +148,7 @@
     this.#lazySince = undefined;
     const t = batch.txn();
     if (!ctx.store.mayWriteBatch(t.ops.length, LEAST_WRITES)) {
-      for (const id of looked) held.disturbed.add(id);
+      for (const id of looked) owned.disturbed.add(id);
       return { pauseMs: ctx.store.writeWaitMs(LEAST_WRITES) };
     }
     this.#records.nextNames();
@@ -154,15 +157,15 @@
     ctx.metrics.record("commit", steadyNow() - began);
     if (r.kind === "applied") {
       absorb(ctx.replica, t.ops, r.rev);
-      for (const key of closedKeys) held.attempts.delete(key);
-      held.counters.commits++;
-      held.counters.puts += t.ops.length;
-      held.sync(steadyNow());
+      for (const key of closedKeys) owned.attempts.delete(key);
+      owned.counters.commits++;
+      owned.counters.puts += t.ops.length;
+      owned.sync(steadyNow());
       callAll();
       return "again";
     }
-    held.counters.conflicts++;
-    for (const id of looked) held.disturbed.add(id);
+    owned.counters.conflicts++;
+    for (const id of looked) owned.disturbed.add(id);
     ctx.log.debug("round not applied", { result: r.kind, ops: t.ops.length });
     const failed = r.kind === "conflict" ? r.failed : [];
     // Its own first copy was applied, most likely, without an answer. Keys read one by one are of
@@ -175,24 +178,23 @@
     return "again";
   }
 
-  #decide(shares: readonly ReturnType<Membership["heldShares"]>[number][], now: Mono) {
-    const { ctx, held } = this;
+  #decide(shards: readonly ReturnType<Membership["ownedShards"]>[number][], now: Mono) {
+    const { ctx, owned } = this;
     const { replica, settings } = ctx;
     const batch = new Batch(replica, { ...settings.state, size: settings.size });
     const call = new Set<MachineId>();
     const closedKeys: string[] = [];
-    const sweep = now - this.#sweptAt >= SWEEP_MS;
-    if (sweep) this.#sweptAt = now;
     this.#disturbRewritten();
-    const looked = new Set(sweep ? held.sessions.keys() : held.disturbed);
-    held.disturbed.clear();
+    this.#disturbInTurn(now);
+    const looked = new Set(owned.disturbed);
+    owned.disturbed.clear();
     // Each has its turn at being first, for the batch may be full before the last.
-    this.#turn = (this.#turn + 1) % shares.length;
-    for (let i = 0; i < shares.length; i++) {
-      const share = shares[(i + this.#turn) % shares.length];
-      if (share === undefined) continue;
-      const round: ShareRound = {
-        share,
+    this.#turn = (this.#turn + 1) % shards.length;
+    for (let i = 0; i < shards.length; i++) {
+      const shard = shards[(i + this.#turn) % shards.length];
+      if (shard === undefined) continue;
+      const round: ShardRound = {
+        shard,
         batch,
         now,
         call,
@@ -200,19 +202,31 @@
         drafts: new Map(),
         closed: new Map(),
       };
-      const own = [...looked].filter((id) => replica.machines.get(id)?.share === share);
+      const own = [...looked].filter((id) => replica.machines.get(id)?.shard === shard);
       // What frees resources and ends jobs goes first, then machines, then starts.
-      closeAttempts(held, round, own);
-      const edited = this.#records.tend(round);
-      if (PlacementRound.needed(held, round)) new PlacementRound(held, round, edited).run();
+      closeAttempts(owned, round, own);
+      const edited = this.#records.reconcile(round);
+      if (PlacementRound.needed(owned, round)) new PlacementRound(owned, round, edited).run();
     }
     return { batch, call, closedKeys, looked };
   }
 
+  /**
+   * Every machine is looked at now and then, whether or not anything was heard of it; in a large
+   * shard a part of them at a time.
+   */
+  #disturbInTurn(now: Mono): void {
+    if (now - this.#sweptAt < SWEEP_MS) return;
+    this.#sweptAt = now;
+    const { sessions, disturbed } = this.owned;
+    if (this.#sweep.length === 0) this.#sweep = [...sessions.keys()];
+    for (const id of this.#sweep.splice(0, SWEEP_MOST)) if (sessions.has(id)) disturbed.add(id);
+  }
+
   /** Machines with attempts of jobs that were cancelled, and those proved gone, are looked at now. */
   #disturbRewritten(): void {
     const { replica } = this.ctx;
-    const { disturbed, sessions } = this.held;
+    const { disturbed, sessions } = this.owned;
     for (const id of replica.rewrittenJobs)
       for (const o of replica.job(id)?.open ?? [])
         if (sessions.has(o.machine)) disturbed.add(o.machine);
@@ -222,10 +236,10 @@
   }
 
   /** The cloud takes a machine away: what can't end in time is saved, or started elsewhere now. */
-  #heedNotices(now: Mono): void {
-    const { held } = this;
+  #handleSpotNotices(now: Mono): void {
+    const { owned } = this;
     const { replica } = this.ctx;
-    for (const [id, s] of held.sessions) {
+    for (const [id, s] of owned.sessions) {
       const noticeS = s.report?.noticeS ?? null;
       if (noticeS === null || s.state !== "ready") continue;
       const leftS = noticeS - (now - s.heardAt) / 1000;
@@ -233,35 +247,35 @@
         const job = replica.accepted.get(o.job)?.value;
         if (job === undefined) continue;
         const { key } = o;
-        const note = held.attemptNote(key, id);
+        const note = owned.attemptNote(key, id);
         const ranS = note.runningSince === null ? 0 : (now - note.runningSince) / 1000;
         // The nominal notice may be half of the true one, and estimates are often half wrong.
         const ends = note.runningSince !== null && job.spec.expectS - ranS < leftS / 2;
         if (job.spec.checkpointS > 0 || !ends)
-          held.stop(key, id, "notice", job.spec.saveS < leftS ? job.spec.saveS : 0);
+          owned.stop(key, id, "notice", job.spec.saveS < leftS ? job.spec.saveS : 0);
       }
-      held.note(id).retire ??= { reason: "notice", force: false };
+      owned.note(id).retire ??= { reason: "notice", force: false };
     }
   }
 
-  /** Machines that the leader wants for urgent work of another share are cleared for it. */
-  #vacate(now: Mono): void {
-    const { held } = this;
+  /** Machines that the leader wants for urgent work of another shard are cleared for it. */
+  #drainRequested(now: Mono): void {
+    const { owned } = this;
     const { replica } = this.ctx;
-    for (const [id, note] of held.machines) {
+    for (const [id, note] of owned.machines) {
       if (note.move === null) continue;
       if (note.move.until <= now) note.move = null;
-      else if (note.move.vacate)
+      else if (note.move.drain)
         for (const o of replica.openOn(id).values()) {
           const saveS = replica.accepted.get(o.job)?.value.spec.saveS ?? 0;
           const { key } = o;
-          if (!held.attempts.get(key)?.stop) held.counters.preempted++;
-          held.stop(key, id, "preempted", saveS);
+          if (!owned.attempts.get(key)?.stop) owned.counters.preempted++;
+          owned.stop(key, id, "preempted", saveS);
         }
     }
   }
 
   stats(): Readonly<Record<string, unknown>> {
-    return this.held.stats();
+    return this.owned.stats();
   }
 }
--- a/src/coordination/held.ts
+++ b/src/coordination/shard-state.ts
@@ -4,15 +4,15 @@
   type Mono,
   mono,
   type Revision,
-  type ShareNo,
+  type ShardId,
   type TaskId,
   type Token,
   token,
 } from "../protocol/ids.js";
 import type { JobSpec } from "../protocol/jobs.js";
-import type { Context } from "../service/context.js";
 import type { LiveJob, MachineRecord } from "../storage/records.js";
 import { steadyNow } from "../transport/clock.js";
+import type { Context } from "./context.js";
 import type { Membership } from "./membership.js";
 import {
   type AttemptNote,
@@ -29,8 +29,8 @@
 /** Without a report of its own for this part of its lease a machine takes nothing more. */
 const UNHEARD_PART = 0.5;
 
-/** What a holder knows of the shares it holds: sessions, notes and counters, and nothing it does. */
-export class Held {
+/** What a owner knows of the shards it holds: sessions, notes and counters, and nothing it does. */
+export class ShardState {
   readonly sessions = new Map<MachineId, Session>();
   readonly attempts = new Map<string, AttemptNote>();
   /**
@@ -68,7 +68,7 @@
   ) {}
 
   tokenOf(m: MachineRecord): Token {
-    const s = this.ctx.replica.shares.get(m.share);
+    const s = this.ctx.replica.shards.get(m.shard);
     return token(Math.max(s?.rev ?? 0, m.floor));
   }
 
@@ -83,16 +83,16 @@
   /** Brings sessions in line with the records: machines come, go, and get higher tokens. */
   sync(now: Mono): void {
     const { replica } = this.ctx;
-    const shares = this.membership.heldShares();
-    const shown = shares.join();
+    const shards = this.membership.ownedShards();
+    const shown = shards.join();
     const same = replica.fleetVersion === this.#syncedFleet && shown === this.#syncedHeld;
     if (same && this.#vanished.size === 0) return;
     this.#syncedFleet = replica.fleetVersion;
     this.#syncedHeld = shown;
-    const held = new Set(shares);
+    const owned = new Set(shards);
     for (const id of this.sessions.keys()) {
       const m = replica.machines.get(id);
-      if (m !== undefined && held.has(m.share)) {
+      if (m !== undefined && owned.has(m.shard)) {
         this.#vanished.delete(id);
         continue;
       }
@@ -105,18 +105,18 @@
       this.#vanished.delete(id);
       this.sessions.delete(id);
       // Who holds it now will hear it: what was held against it here must not meet it again when
-      // it comes back. (Some 140 machines were returned the moment their share was handed back.)
+      // it comes back. (Some 140 machines were returned the moment their shard was handed back.)
       this.machines.delete(id);
     }
     for (const [id, m] of replica.machines) {
-      if (!held.has(m.share)) continue;
+      if (!owned.has(m.shard)) continue;
       const t = this.tokenOf(m);
       if (this.sessions.has(id)) this.step(id, { kind: "held", token: t, now });
       else this.sessions.set(id, newSession(t, now));
     }
     for (const id of this.machines.keys()) if (!replica.machines.has(id)) this.machines.delete(id);
     for (const id of this.jobs.keys()) if (!replica.accepted.has(id)) this.jobs.delete(id);
-    // Attempts that another holder closed after a share was handed over.
+    // Attempts that another owner closed after a shard was handed over.
     for (const [key, note] of this.attempts)
       if (!replica.machines.has(note.machine)) this.attempts.delete(key);
   }
@@ -135,7 +135,7 @@
    * told renews that, so it takes nothing more, and what it killed is started elsewhere. (Started
    * there again, tasks longer than a lease never came to their end.)
    */
-  unheard(id: MachineId, now: Mono): boolean {
+  heartbeatOverdue(id: MachineId, now: Mono): boolean {
     const at = this.machines.get(id)?.reportedAt ?? null;
     return at !== null && now - at > this.ctx.settings.workers.leaseS * 1000 * UNHEARD_PART;
   }
@@ -199,7 +199,7 @@
   stats(): Readonly<Record<string, unknown>> {
     const states: Record<string, number> = {};
     for (const s of this.sessions.values()) states[s.state] = (states[s.state] ?? 0) + 1;
-    const shares: readonly ShareNo[] = this.membership.heldShares();
-    return { ...this.counters, sessions: states, shares };
+    const shards: readonly ShardId[] = this.membership.ownedShards();
+    return { ...this.counters, sessions: states, shards };
   }
 }
--- a/src/coordination/swarm-period.ts
+++ b/src/coordination/swarm-period.ts
@@ -1,10 +1,10 @@
-import type { MachineId, Mono, ShareNo } from "../protocol/ids.js";
+import type { MachineId, Mono, ShardId } from "../protocol/ids.js";
 import { bindsZones, type Place, permitted, placementGroup } from "../scheduling/placement.js";
 import { fits, minus } from "../scheduling/resources.js";
 import { type SwarmMachine, type SwarmTask, swarmRound } from "../scheduling/swarm.js";
 import type { LiveJob } from "../storage/records.js";
-import type { Held } from "./held.js";
 import { placesOf, RESERVATION_MS, zoneCounts } from "./places.js";
+import type { ShardState } from "./shard-state.js";
 
 /** One job of each group of waiting jobs that are alike for placement. */
 const waitingKinds = (waiting: Iterable<LiveJob>): readonly LiveJob[] => {
@@ -18,31 +18,31 @@
 
 /** A machine as the swarm sees it: n - Q + R, and the tasks that stay. */
 const swarmMachine = (
-  held: Held,
-  share: ShareNo,
+  owned: ShardState,
+  shard: ShardId,
   place: Place,
   places: ReadonlyMap<MachineId, Place>,
   now: Mono,
 ): SwarmMachine => {
-  const work = held.ctx.replica.work(share);
+  const work = owned.ctx.replica.work(shard);
   const tasks: SwarmTask[] = [];
   let use = place.use;
   for (const [task, o] of work.openOn(place.id)) {
     const job = work.jobs.get(o.job);
     if (job === undefined) continue;
-    const note = held.attempts.get(o.key);
+    const note = owned.attempts.get(o.key);
     // A job that fails everywhere would draw tasks back and forth: it is no part of n.
-    const failing = (held.jobs.get(o.job)?.failures ?? 0) > 0;
+    const failing = (owned.jobs.get(o.job)?.failures ?? 0) > 0;
     if (note?.stop != null || failing || job.cancelledAt !== null) {
       use = minus(use, job.spec.needs);
       continue;
     }
-    const zones = zoneCounts(held, job);
+    const zones = zoneCounts(owned, job);
     zones.set(place.zone, Math.max(0, (zones.get(place.zone) ?? 0) - 1));
     tasks.push({
       task,
       needs: job.spec.needs,
-      lossS: held.lossS(job, note, now),
+      lossS: owned.lossS(job, note, now),
       allowed: (to) => {
         const destination = places.get(to);
         if (destination === undefined || !permitted(job.spec, destination, zones)) return false;
@@ -55,19 +55,19 @@
 };
 
 /** The paper's period: tasks cheap to restart leave machines that can be emptied. */
-export const swarmPeriod = (held: Held, share: ShareNo, now: Mono): void => {
-  const { replica, operators, random, log } = held.ctx;
-  const work = replica.work(share);
-  const places = placesOf(held, share, new Map(), new Set());
+export const swarmPeriod = (owned: ShardState, shard: ShardId, now: Mono): void => {
+  const { replica, operators, random, log } = owned.ctx;
+  const work = replica.work(shard);
+  const places = placesOf(owned, shard, new Map(), new Set());
   const waiting = waitingKinds(work.index.waiting.values());
   const machines: SwarmMachine[] = [];
   for (const place of places.values()) {
     // Where a task that waits fits, the place fills by itself; and so would what a move freed.
     const wanted = waiting.some(
       (job) =>
-        fits(job.spec.needs, place.capacity) && permitted(job.spec, place, zoneCounts(held, job)),
+        fits(job.spec.needs, place.capacity) && permitted(job.spec, place, zoneCounts(owned, job)),
     );
-    if (!wanted) machines.push(swarmMachine(held, share, place, places, now));
+    if (!wanted) machines.push(swarmMachine(owned, shard, place, places, now));
   }
   const moves = swarmRound(machines, random, {
     cap: Math.max(operators.swarmMoves, Math.floor(machines.length * operators.swarmPart)),
@@ -77,9 +77,9 @@
     const o = work.openOn(m.from).get(m.task);
     const job = o === undefined ? undefined : work.jobs.get(o.job);
     if (o === undefined || job === undefined) continue;
-    held.stop(o.key, m.from, "moved", job.spec.saveS);
-    held.keep(m.task, m.to, RESERVATION_MS);
-    held.counters.moves++;
+    owned.stop(o.key, m.from, "moved", job.spec.saveS);
+    owned.keep(m.task, m.to, RESERVATION_MS);
+    owned.counters.moves++;
     log.debug("move", { task: m.task, from: m.from, to: m.to });
   }
 };
--- a/src/coordination/workers.ts
+++ b/src/coordination/worker-channel.ts
@@ -1,6 +1,6 @@
 import { attemptKey, type MachineId, type Mono, mono, type TaskId } from "../protocol/ids.js";
 import {
-  beatAnswer,
+  heartbeatAnswer,
   type Order,
   ordersBody,
   parseReport,
@@ -8,16 +8,16 @@
   redirectBody,
   type TaskReport,
 } from "../protocol/workers.js";
-import { refresh } from "../service/context.js";
 import { keys } from "../storage/records.js";
 import type { Calls, Reply } from "../transport/client.js";
 import { steadyNow, timeOfDay } from "../transport/clock.js";
 import type { Answer } from "../transport/server.js";
 import { socketParts } from "../transport/sockets.js";
-import type { Held } from "./held.js";
-import { clearDoubts, type MachineNote, useImage } from "./notes.js";
+import { type Connectivity, judgeConnectivity } from "./connectivity.js";
+import { refresh } from "./context.js";
+import { type MachineNote, resetSuspicion, useImage } from "./notes.js";
 import { newSession, ordersFor, quietLine, type Session, type Wanted } from "./session.js";
-import { judgeWay, type Way } from "./way.js";
+import type { ShardState } from "./shard-state.js";
 
 /** How long a direct call to a worker may take. */
 const DIRECT_MS = 1200;
@@ -35,23 +35,23 @@
 const WAVE_SILENCE_PART = 0.5;
 const WATCH_EVERY_MS = 200;
 /** Calls in a row without an answer that make a machine mute, or deaf though it reports. */
-const MUTE_CALLS = 2;
-const DEAF_CALLS = 4;
+const SILENT_CALLS = 2;
+const UNREACHABLE_CALLS = 4;
 /** Leases without a report after which a machine that answers calls is given up. */
-const MUTE_LEASES = 3;
+const HEARTBEAT_LEASES = 3;
 /** With this part of its machines out of reach, the trouble is the controller's own. */
 const MUTE_PART = 0.8;
 /** Machines asked whether they can be reached again, and what part of them must answer. */
 const PROBES = 8;
 const PROBES_PART = 0.5;
 
-/** All that is said between a holder and its machines. */
-export class WorkerDealings {
+/** All that is said between a owner and its machines. */
+export class WorkerChannel {
   #watchedAt: Mono = mono(0);
   readonly #queue: MachineId[] = [];
   #calling = 0;
   #lostAt: Mono[] = [];
-  #way: Way = "open";
+  #connectivity: Connectivity = "connected";
   /** When any machine was last heard, and since when silence counts at all. */
   #heardAt: Mono = steadyNow();
   #known = 0;
@@ -59,22 +59,22 @@
   readonly #mostCalls: number;
 
   constructor(
-    private readonly held: Held,
+    private readonly owned: ShardState,
     private readonly workers: Calls,
   ) {
-    const { settings } = held.ctx;
+    const { settings } = owned.ctx;
     const members = settings.seeds.length + 1;
     this.#mostCalls = socketParts(settings.resources.maxSockets, members).workers;
   }
 
-  get way(): Way {
-    return this.#way;
+  get connectivity(): Connectivity {
+    return this.#connectivity;
   }
 
   /** Whether machines are heard here; nothing if there are too few to tell. */
-  hears(): boolean | undefined {
+  receivesHeartbeats(): boolean | undefined {
     if (this.#known === 0) return undefined;
-    return this.#way === "open";
+    return this.#connectivity === "connected";
   }
 
   /**
@@ -84,16 +84,16 @@
   startAnew(now: Mono): void {
     this.#heardAt = now;
     this.#lostAt = [];
-    this.#way = "open";
-    for (const id of this.held.sessions.keys()) {
-      this.held.step(id, { kind: "anew", now });
-      clearDoubts(this.held.note(id));
+    this.#connectivity = "connected";
+    for (const id of this.owned.sessions.keys()) {
+      this.owned.step(id, { kind: "anew", now });
+      resetSuspicion(this.owned.note(id));
     }
   }
 
   /** Whether machines answer a call from here: a few are asked, whoever holds them. */
   async reaches(): Promise<boolean> {
-    const { replica, random } = this.held.ctx;
+    const { replica, random } = this.owned.ctx;
     const up = [...replica.machines].filter(
       ([id, m]) => m.stage === "up" && m.endpoint !== "" && !replica.isGone(id),
     );
@@ -109,21 +109,21 @@
   }
 
   #wantedOn(id: MachineId): ReadonlyMap<TaskId, Wanted> {
-    const { held } = this;
-    const { replica } = held.ctx;
+    const { owned } = this;
+    const { replica } = owned.ctx;
     const out = new Map<TaskId, Wanted>();
     const m = replica.machines.get(id);
     if (m === undefined) return out;
-    const up = m.stage === "up" && !replica.isGone(id) && !held.unheard(id, steadyNow());
-    const { jobs } = replica.work(m.share);
-    for (const [task, o] of replica.work(m.share).openOn(id)) {
+    const up = m.stage === "up" && !replica.isGone(id) && !owned.heartbeatOverdue(id, steadyNow());
+    const { jobs } = replica.work(m.shard);
+    for (const [task, o] of replica.work(m.shard).openOn(id)) {
       const job = jobs.get(o.job);
       const { key } = o;
-      const note = held.attempts.get(key);
+      const note = owned.attempts.get(key);
       // Nothing of a cancelled job is of use: it stops without saving.
       const stopGraceS =
         job === undefined || job.cancelledAt !== null ? 0 : (note?.stop?.graceS ?? null);
-      const leaving = held.closing.has(key) || !up;
+      const leaving = owned.closing.has(key) || !up;
       out.set(task, { task, attempt: o.attempt, stopGraceS, leaving });
     }
     return out;
@@ -134,9 +134,9 @@
   }
 
   /** POST /agent/beat. A 200 is only given with a token that the worker will accept. */
-  beat(body: unknown, adopt: (r: Report) => void): Answer {
-    const { held } = this;
-    const { ctx, membership } = held;
+  heartbeat(body: unknown, adopt: (r: Report) => void): Answer {
+    const { owned } = this;
+    const { ctx, membership } = owned;
     const report = parseReport(body);
     if (report === undefined) {
       ctx.log.info("malformed report", {});
@@ -152,61 +152,61 @@
       if (membership.leads()) adopt(report);
       return { status: 421, body: redirectBody(leader === me.label ? undefined : leader) };
     }
-    if (!membership.holds(m.share)) {
-      const to = membership.holderOf(m.share)?.label;
+    if (!membership.holds(m.shard)) {
+      const to = membership.ownerOf(m.shard)?.label;
       return { status: 421, body: redirectBody(to === me.label ? undefined : to) };
     }
     // Proved gone: what it says is late.
     if (replica.isGone(report.machine)) return { status: 503, retryAfterS: 5 };
     const now = steadyNow();
-    const t = held.tokenOf(m);
+    const t = owned.tokenOf(m);
     if (report.token > t) {
       // Somebody has a higher token: what we know of this machine is old.
-      void refresh(ctx, [keys.share(m.share), replica.fleetPageOf(report.machine) ?? ""]);
+      void refresh(ctx, [keys.shard(m.shard), replica.fleetPageOf(report.machine) ?? ""]);
       return { status: 503, retryAfterS: 1 };
     }
-    if (!held.sessions.has(report.machine)) held.sessions.set(report.machine, newSession(t, now));
-    held.step(report.machine, { kind: "held", token: t, now });
-    this.#hear(report, "beat", now);
-    const s = held.sessions.get(report.machine);
+    if (!owned.sessions.has(report.machine)) owned.sessions.set(report.machine, newSession(t, now));
+    owned.step(report.machine, { kind: "held", token: t, now });
+    this.#hear(report, "heartbeat", now);
+    const s = owned.sessions.get(report.machine);
     if (s === undefined) return { status: 503, retryAfterS: 1 };
     const orders = s.report === report ? ordersFor(s, this.#wantedOn(report.machine)) : [];
-    held.step(report.machine, { kind: "answered_beat", starts: this.#startKeys(orders) });
-    return { status: 200, body: beatAnswer(t, orders) };
+    owned.step(report.machine, { kind: "answered_heartbeat", starts: this.#startKeys(orders) });
+    return { status: 200, body: heartbeatAnswer(t, orders) };
   }
 
-  #hear(report: Report, via: "beat" | "direct", now: Mono): void {
-    const { held } = this;
-    const before = held.sessions.get(report.machine);
-    const after = held.step(report.machine, { kind: "report", report, via, now });
+  #hear(report: Report, via: "heartbeat" | "direct", now: Mono): void {
+    const { owned } = this;
+    const before = owned.sessions.get(report.machine);
+    const after = owned.step(report.machine, { kind: "report", report, via, now });
     if (after === undefined || after === before) return;
     this.#heardAt = now;
-    const note = held.note(report.machine);
+    const note = owned.note(report.machine);
     note.failedCalls = 0;
-    if (via === "beat") note.reportedAt = now;
-    if (via === "direct") note.deafCalls = 0;
+    if (via === "heartbeat") note.reportedAt = now;
+    if (via === "direct") note.unreachableCalls = 0;
     for (const t of report.tasks) this.#look(report.machine, t, now);
     // A report that says nothing new is no reason for a round.
     if (before !== undefined && sameNews(before, after)) return;
-    held.disturbed.add(report.machine);
-    held.wake();
+    owned.disturbed.add(report.machine);
+    owned.wake();
   }
 
   #look(machine: MachineId, t: TaskReport, now: Mono): void {
-    const { held } = this;
-    const { replica } = held.ctx;
+    const { owned } = this;
+    const { replica } = owned.ctx;
     if (t.stage !== "running") return;
     const key = attemptKey(t.task, t.attempt);
-    if (held.attempts.get(key)?.runningSince != null) return;
+    if (owned.attempts.get(key)?.runningSince != null) return;
     const o = replica.openOn(machine).get(t.task);
     if (o === undefined || o.attempt !== t.attempt) return;
     const job = replica.accepted.get(o.job)?.value;
     if (job === undefined) return;
-    held.attemptNote(key, machine).runningSince = now;
-    held.ctx.metrics.record(`begin ${job.spec.jobClass}`, timeOfDay() - job.acceptedAt);
+    owned.attemptNote(key, machine).runningSince = now;
+    owned.ctx.metrics.record(`begin ${job.spec.jobClass}`, timeOfDay() - job.acceptedAt);
     const type = replica.machines.get(machine)?.type;
     const cache = replica.types?.value.find((x) => x.name === type)?.cacheGb ?? 0;
-    useImage(held.note(machine), job.spec.image, job.spec.imageGb, cache);
+    useImage(owned.note(machine), job.spec.image, job.spec.imageGb, cache);
   }
 
   /**
@@ -214,7 +214,7 @@
    * many at once, or a user's request waits behind all the answers of a takeover.
    */
   callMachine(id: MachineId, first = false): void {
-    const note = this.held.note(id);
+    const note = this.owned.note(id);
     if (note.directBusy) {
       note.directAgain = true;
       return;
@@ -230,10 +230,10 @@
     while (this.#calling < this.#mostCalls) {
       const id = this.#queue.shift();
       if (id === undefined) return;
-      const note = this.held.note(id);
+      const note = this.owned.note(id);
       this.#calling++;
       this.#callOnce(id, note)
-        .catch((e) => this.held.ctx.log.error("call failed", { machine: id, error: String(e) }))
+        .catch((e) => this.owned.ctx.log.error("call failed", { machine: id, error: String(e) }))
         .finally(() => {
           this.#calling--;
           note.directBusy = false;
@@ -247,9 +247,9 @@
   }
 
   async #callOnce(id: MachineId, note: MachineNote): Promise<void> {
-    const { held } = this;
-    const { replica } = held.ctx;
-    const s = held.sessions.get(id);
+    const { owned } = this;
+    const { replica } = owned.ctx;
+    const s = owned.sessions.get(id);
     const m = replica.machines.get(id);
     if (s === undefined || m === undefined || replica.isGone(id)) return;
     const endpoint = s.report?.endpoint ?? m.endpoint;
@@ -262,7 +262,7 @@
       const r = await this.workers.call(endpoint, "POST", "/orders", body, DIRECT_MS);
       if (ownFault(r)) return;
       this.#directReport(id, note, r.kind === "answer" ? r.body : undefined);
-      if (held.sessions.get(id)?.state === "claiming") note.directAgain = true;
+      if (owned.sessions.get(id)?.state === "claiming") note.directAgain = true;
       return;
     }
     const orders = ordersFor(s, this.#wantedOn(id));
@@ -273,18 +273,18 @@
       return;
     }
     const starts = this.#startKeys(orders);
-    held.step(id, { kind: "direct_sent", starts });
+    owned.step(id, { kind: "direct_sent", starts });
     const body = ordersBody(s.token, s.report.session, orders);
     const r = await this.workers.call(endpoint, "POST", "/orders", body, DIRECT_MS);
-    if (r.kind === "unsent") held.step(id, { kind: "direct_unsent", starts });
+    if (r.kind === "unsent") owned.step(id, { kind: "direct_unsent", starts });
     else if (r.kind === "lost" || (r.status !== 200 && r.status !== 409 && r.status !== 400))
-      held.step(id, { kind: "direct_lost", starts });
+      owned.step(id, { kind: "direct_lost", starts });
     else {
       // 409 and 400: nothing was executed.
-      held.step(id, { kind: r.status === 200 ? "direct_answered" : "direct_unsent", starts });
+      owned.step(id, { kind: r.status === 200 ? "direct_answered" : "direct_unsent", starts });
       this.#directReport(id, note, r.body);
       // It has shown our token just now: what waited for that goes at once.
-      const now = held.sessions.get(id);
+      const now = owned.sessions.get(id);
       if (s.state === "claiming" && now?.state === "ready")
         note.directAgain ||= ordersFor(now, this.#wantedOn(id)).length > 0;
       return;
@@ -294,26 +294,26 @@
 
   #callFailed(id: MachineId, note: MachineNote): void {
     note.failedCalls++;
-    if (note.deafCalls++ === 0) note.deafSince = note.calledAt;
-    this.held.disturbed.add(id);
-    this.held.wake();
+    if (note.unreachableCalls++ === 0) note.unreachableSince = note.calledAt;
+    this.owned.disturbed.add(id);
+    this.owned.wake();
   }
 
   #directReport(id: MachineId, note: MachineNote, body: unknown): void {
-    const { held } = this;
-    const { replica } = held.ctx;
+    const { owned } = this;
+    const { replica } = owned.ctx;
     const report = parseReport(body);
     if (report === undefined || report.machine !== id) {
       this.#callFailed(id, note);
       return;
     }
-    note.deafCalls = 0;
-    const s = held.sessions.get(id);
+    note.unreachableCalls = 0;
+    const s = owned.sessions.get(id);
     if (s === undefined) return;
     if (report.token > s.token) {
       const m = replica.machines.get(id);
       if (m !== undefined)
-        void refresh(held.ctx, [keys.share(m.share), replica.fleetPageOf(id) ?? ""]);
+        void refresh(owned.ctx, [keys.shard(m.shard), replica.fleetPageOf(id) ?? ""]);
       return;
     }
     this.#hear(report, "direct", steadyNow());
@@ -328,11 +328,11 @@
   watchSilence(now: Mono): void {
     if (now - this.#watchedAt < WATCH_EVERY_MS) return;
     this.#watchedAt = now;
-    const { held } = this;
-    const { operators, settings, replica, log } = held.ctx;
+    const { owned } = this;
+    const { operators, settings, replica, log } = owned.ctx;
     const reportMs = settings.workers.reportS * 1000;
     const silenceMs = operators.silenceS * 1000;
-    const muteMs = settings.workers.leaseS * 1000 * MUTE_LEASES + reportMs;
+    const heartbeatMs = settings.workers.leaseS * 1000 * HEARTBEAT_LEASES + reportMs;
     const lost: { id: MachineId; why: string; quietMs: number }[] = [];
     let known = 0;
     let unreached = 0;
@@ -340,32 +340,37 @@
     const wave = this.#lostAt.length >= WAVE_LEAST;
     const overdueMs = reportMs * (wave ? WAVE_OVERDUE_PART : 1.25);
     const patienceMs = silenceMs * (wave ? WAVE_SILENCE_PART : 1);
-    for (const [id, s] of held.sessions) {
+    for (const [id, s] of owned.sessions) {
       const m = replica.machines.get(id);
       if (m === undefined || replica.isGone(id)) continue;
-      const note = held.note(id);
+      const note = owned.note(id);
       const quiet = now - s.heardAt;
       const claim = s.state === "claiming" || (s.state === "unheard" && m.endpoint !== "");
       // Reports come with up to a quarter of delay; one that is later than that is asked for.
       const overdue = quiet > overdueMs + OVERDUE_MS;
-      const asked = overdue || claim || note.deafCalls > 0;
+      const asked = overdue || claim || note.unreachableCalls > 0;
       if (asked && now - note.calledAt >= PROBE_EVERY_MS) this.callMachine(id);
       if (m.endpoint === "" && s.report === undefined) continue;
       if (note.retire?.force === true || m.stage !== "up") continue;
       known++;
       const unanswered = note.failedCalls > 0 && quiet > reportMs;
-      if (unanswered || note.deafCalls >= MUTE_CALLS) unreached++;
-      const silent = quiet >= patienceMs && note.failedCalls >= MUTE_CALLS;
-      const deaf = note.deafCalls >= DEAF_CALLS && now - note.deafSince >= silenceMs;
+      if (unanswered || note.unreachableCalls >= SILENT_CALLS) unreached++;
+      const silent = quiet >= patienceMs && note.failedCalls >= SILENT_CALLS;
+      const unreachable =
+        note.unreachableCalls >= UNREACHABLE_CALLS && now - note.unreachableSince >= silenceMs;
       if (s.report !== undefined) note.reportedAt ??= now;
-      const mute = note.reportedAt !== null && now - note.reportedAt > muteMs;
-      if (silent || deaf || mute)
-        lost.push({ id, why: silent ? "silent" : deaf ? "deaf" : "mute", quietMs: quiet });
+      const heartbeatsMissing = note.reportedAt !== null && now - note.reportedAt > heartbeatMs;
+      if (silent || unreachable || heartbeatsMissing)
+        lost.push({
+          id,
+          why: silent ? "silent" : unreachable ? "unreachable" : "heartbeats missing",
+          quietMs: quiet,
+        });
     }
     // With the first machines held there was nobody to be heard before.
     if (this.#known === 0) this.#heardAt = now;
     this.#known = known;
-    this.#way = judgeWay({
+    this.#connectivity = judgeConnectivity({
       known,
       quietMs: now - this.#heardAt,
       mute: unreached >= known * MUTE_PART,
@@ -373,12 +378,12 @@
       silenceMs,
       leaseMs: settings.workers.leaseS * 1000,
     });
-    if (this.#way === "doubted" || this.#way === "blind") return;
+    if (this.#connectivity === "suspect" || this.#connectivity === "disconnected") return;
     for (const l of lost) {
-      held.step(l.id, { kind: "silence" });
+      owned.step(l.id, { kind: "silence" });
       log.info(`machine ${l.why}`, { machine: l.id, quietMs: Math.round(l.quietMs) });
-      held.note(l.id).retire = { reason: l.why, force: true };
-      held.disturbed.add(l.id);
+      owned.note(l.id).retire = { reason: l.why, force: true };
+      owned.disturbed.add(l.id);
       this.#lostAt.push(now);
     }
   }
--- a/src/protocol/ids.ts
+++ b/src/protocol/ids.ts
@@ -10,10 +10,10 @@
 /** A start of one process under a label; two starts never share one. */
 export type Incarnation = Branded<string, "Incarnation">;
 export type TeamName = Branded<string, "TeamName">;
-export type ShareNo = Branded<number, "ShareNo">;
+export type ShardId = Branded<number, "ShardId">;
 /** A revision of the state service: it only rises, over all keys together. */
 export type Revision = Branded<number, "Revision">;
-/** Who may command a machine: a state-service revision, so a later holder's is always higher. */
+/** Who may command a machine: a state-service revision, so a later owner's is always higher. */
 export type Token = Branded<number, "Token">;
 export type AttemptNo = Branded<number, "AttemptNo">;
 export type LeaseId = Branded<number, "LeaseId">;
@@ -27,7 +27,7 @@
 export const controllerLabel = (s: string): ControllerLabel => s as ControllerLabel;
 export const incarnation = (s: string): Incarnation => s as Incarnation;
 export const teamName = (s: string): TeamName => s as TeamName;
-export const shareNo = (n: number): ShareNo => n as ShareNo;
+export const shardId = (n: number): ShardId => n as ShardId;
 export const revision = (n: number): Revision => n as Revision;
 export const token = (n: number): Token => n as Token;
 export const attemptNo = (n: number): AttemptNo => n as AttemptNo;
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -6,29 +6,29 @@
   machineId,
   type Revision,
   revision,
-  type ShareNo,
-  shareNo,
+  type ShardId,
+  shardId,
   type Wall,
   wall,
 } from "./ids.js";
 import { isJobId } from "./jobs.js";
 
-/** `vacate`: stop what of lower rank runs there first. */
+/** `drain`: stop what of lower rank runs there first. */
 export interface MoveRequest {
   readonly machine: MachineId;
-  readonly to: ShareNo;
-  readonly vacate: boolean;
+  readonly to: ShardId;
+  readonly drain: boolean;
 }
 
 /** A cancellation that is known to be written: the record's revision, and the time it bears. */
-export interface CancelWord {
+export interface CancelNotice {
   readonly job: JobId;
   readonly rev: Revision;
   readonly at: Wall;
 }
 
 /**
- * What controllers tell one another. What the leader asks of a share's holder are hints only: all
+ * What controllers tell one another. What the leader asks of a shard's owner are hints only: all
  * that must hold is in the state service. So is a cancellation, but who tells of one may have read
  * it where the other can't.
  */
@@ -38,12 +38,12 @@
   readonly retire: readonly MachineId[];
   /** Why they are to be retired at once; empty: they are surplus. */
   readonly reason: string;
-  readonly cancelled: readonly CancelWord[];
-  /** Jobs of the sender's shares that fail wherever they are started. */
+  readonly cancelled: readonly CancelNotice[];
+  /** Jobs of the sender's shards that fail wherever they are started. */
   readonly failing: readonly JobId[];
 }
 
-export const NO_WORD: Omit<PeerMessage, "from"> = {
+export const EMPTY_MESSAGE: Omit<PeerMessage, "from"> = {
   moves: [],
   retire: [],
   reason: "",
@@ -57,7 +57,7 @@
       fields: {
         machine: { type: "string", id: 1 },
         to: { type: "uint32", id: 2 },
-        vacate: { type: "bool", id: 3 },
+        drain: { type: "bool", id: 3 },
       },
     },
     Cancelled: {
@@ -92,7 +92,7 @@
     longs: Number,
   }) as {
     from: string;
-    moves: { machine: string; to: number; vacate: boolean }[];
+    moves: { machine: string; to: number; drain: boolean }[];
     retire: string[];
     reason: string;
     cancelled: { job: string; rev: number; at: number }[];
@@ -102,8 +102,8 @@
     from: o.from,
     moves: o.moves.map((m) => ({
       machine: machineId(m.machine),
-      to: shareNo(m.to),
-      vacate: m.vacate,
+      to: shardId(m.to),
+      drain: m.drain,
     })),
     retire: o.retire.map(machineId),
     reason: o.reason,
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -106,7 +106,7 @@
     ? { verb: VERBS.stop, thread: o.task, try: o.attempt, easeS: o.graceS }
     : { verb: VERBS[o.op], thread: o.task, try: o.attempt };
 
-export const beatAnswer = (t: Token, orders: readonly Order[]): Fields => ({
+export const heartbeatAnswer = (t: Token, orders: readonly Order[]): Fields => ({
   baton: wide(t),
   orders: orders.map(orderBody),
 });
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -1,6 +1,6 @@
 import type { Objective, Team } from "../cli/settings.js";
 import type { MachineType } from "../protocol/cloud.js";
-import type { JobId, ShareNo, TeamName, Wall } from "../protocol/ids.js";
+import type { JobId, ShardId, TeamName, Wall } from "../protocol/ids.js";
 import { type JobSpec, type Resources, rankOrder } from "../protocol/jobs.js";
 import { type LiveJob, waitingCount } from "../storage/records.js";
 import { type DemandGroup, follow } from "./fleet.js";
@@ -13,7 +13,7 @@
 
 export interface DemandInput {
   readonly jobs: Iterable<readonly [JobId, LiveJob]>;
-  readonly shareOf: ReadonlyMap<TeamName, ShareNo>;
+  readonly shardOf: ReadonlyMap<TeamName, ShardId>;
   readonly teams: ReadonlyMap<TeamName, Team>;
   /** Jobs within their team's guarantee. */
   readonly withinGuarantee: ReadonlySet<JobId>;
@@ -58,7 +58,7 @@
   readonly rank: number;
   readonly sharing: SharedTypes;
   open: number;
-  readonly waiting: Map<ShareNo, number>;
+  readonly waiting: Map<ShardId, number>;
   waits: number;
   /** Slots that would see its work through in good time, and only just. */
   wanted: number;
@@ -116,8 +116,8 @@
   const byTypes = new Map<string, SharedTypes>();
   const teamRoom = new Map<TeamName, number>();
   for (const [id, j] of d.jobs) {
-    const share = d.shareOf.get(j.spec.team);
-    if (share === undefined) continue;
+    const shard = d.shardOf.get(j.spec.team);
+    if (shard === undefined) continue;
     const { needs, types, zone, spotAllowed, rank, team } = j.spec;
     const key = groupKey(j.spec);
     let e = sums.get(key);
@@ -152,7 +152,7 @@
     const targets = targetsOf(j.spec, d.objectives, d.withinGuarantee.has(id));
     e.open += j.open.length;
     e.waits += waiting;
-    if (waiting > 0) e.waiting.set(share, (e.waiting.get(share) ?? 0) + waiting);
+    if (waiting > 0) e.waiting.set(shard, (e.waiting.get(shard) ?? 0) + waiting);
     // One long job must not make its whole class urgent.
     if (patienceS(targets, runS, d.patience) < d.bootS) e.hasty += waiting + j.open.length;
     // Work left, over the time there is for it. The running are half done on the whole.
--- a/src/scheduling/fleet.ts
+++ b/src/scheduling/fleet.ts
@@ -1,5 +1,5 @@
 import type { MachineType } from "../protocol/cloud.js";
-import { type MachineId, type ShareNo, shareNo } from "../protocol/ids.js";
+import { type MachineId, type ShardId, shardId } from "../protocol/ids.js";
 import type { Resources } from "../protocol/jobs.js";
 import type { MoveRequest } from "../protocol/peer.js";
 import { contenders, distinctNeeds } from "./placement.js";
@@ -15,8 +15,8 @@
   readonly wanted: number;
   /** Of these, those worth the dearer offers too. */
   readonly needed: number;
-  /** Tasks that wait now, by share. */
-  readonly waiting: ReadonlyMap<ShareNo, number>;
+  /** Tasks that wait now, by shard. */
+  readonly waiting: ReadonlyMap<ShardId, number>;
   readonly rank: number;
   /** Its objectives leave no time to wait for a boot. */
   readonly urgent: boolean;
@@ -24,7 +24,7 @@
 
 export interface FleetMachine {
   readonly id: MachineId;
-  readonly share: ShareNo;
+  readonly shard: ShardId;
   readonly type: MachineType;
   readonly zone: string;
   readonly spot: boolean;
@@ -47,8 +47,8 @@
   readonly type: string;
   readonly zone: string;
   readonly spot: boolean;
-  /** The share that each of the machines is for. */
-  readonly shares: readonly ShareNo[];
+  /** The shard that each of the machines is for. */
+  readonly shards: readonly ShardId[];
 }
 
 export interface FleetPlan {
@@ -68,7 +68,7 @@
   readonly maxRents: number;
   /** How long a rented machine is kept, on the whole: what its boot costs is spread over that. */
   readonly lifeS: number;
-  /** How many shares there are. */
+  /** How many shards there are. */
   readonly size: number;
 }
 
@@ -141,7 +141,7 @@
 
 interface Short {
   readonly g: DemandGroup;
-  readonly share: ShareNo;
+  readonly shard: ShardId;
   left: number;
 }
 
@@ -155,8 +155,8 @@
 };
 
 /**
- * Machines that are as good as one another are taken from the shares that have most of them: each
- * share that gives some away writes for it, however many they are.
+ * Machines that are as good as one another are taken from the shards that have most of them: each
+ * shard that gives some away writes for it, however many they are.
  */
 const gather = (rooms: Room[]): void => {
   const kindOf = (r: Room): string => `${r.m.type.name}|${r.m.spot}`;
@@ -164,69 +164,69 @@
   const has = new Map<string, number>();
   for (const r of rooms) {
     if (!kinds.has(kindOf(r))) kinds.set(kindOf(r), kinds.size);
-    const key = `${kindOf(r)}|${r.m.share}`;
+    const key = `${kindOf(r)}|${r.m.shard}`;
     has.set(key, (has.get(key) ?? 0) + 1);
   }
-  const count = (r: Room): number => has.get(`${kindOf(r)}|${r.m.share}`) ?? 0;
+  const count = (r: Room): number => has.get(`${kindOf(r)}|${r.m.shard}`) ?? 0;
   rooms.sort(
     (a, b) =>
       (kinds.get(kindOf(a)) ?? 0) - (kinds.get(kindOf(b)) ?? 0) ||
       count(b) - count(a) ||
-      a.m.share - b.m.share,
+      a.m.shard - b.m.shard,
   );
 };
 
-/** Gives whole machines of other shares to what is short, in this order of preference. */
-const take = (short: readonly Short[], rooms: readonly Room[], vacate: boolean): MoveRequest[] => {
+/** Gives whole machines of other shards to what is short, in this order of preference. */
+const take = (short: readonly Short[], rooms: readonly Room[], drain: boolean): MoveRequest[] => {
   const out: MoveRequest[] = [];
   for (const u of short) {
-    if (vacate && !u.g.urgent) continue;
+    if (drain && !u.g.urgent) continue;
     const others = rooms.filter(
-      (r) => r.m.share !== u.share && r.m.up && !r.moved && r.taken === 0 && r.yielded.size === 0,
+      (r) => r.m.shard !== u.shard && r.m.up && !r.moved && r.taken === 0 && r.yielded.size === 0,
     );
-    const candidates = vacate
+    const candidates = drain
       ? others.filter((r) => r.m.open > 0 && r.m.tasks.every((t) => t.rank > u.g.rank))
       : others.filter((r) => r.m.open === 0);
-    if (vacate) candidates.sort((a, b) => a.lossS - b.lossS);
+    if (drain) candidates.sort((a, b) => a.lossS - b.lossS);
     else gather(candidates);
     for (const r of candidates) {
       if (u.left === 0) break;
-      if (vacate) yieldTo(u.g, r);
+      if (drain) yieldTo(u.g, r);
       u.left = fill(u.g, u.left, [r]);
       if (r.taken === 0) continue;
       r.moved = true;
-      out.push({ machine: r.m.id, to: u.share, vacate });
+      out.push({ machine: r.m.id, to: u.shard, drain });
     }
   }
   return out;
 };
 
 /**
- * Lays the waiting tasks of each share over its own machines, then over idle ones of others, and
- * the urgent also over machines of others that hold only work of lower rank. Within its own share
- * a holder preempts by itself.
+ * Lays the waiting tasks of each shard over its own machines, then over idle ones of others, and
+ * the urgent also over machines of others that hold only work of lower rank. Within its own shard
+ * a owner preempts by itself.
  */
 const planMoves = (
   demand: readonly DemandGroup[],
   rooms: readonly Room[],
 ): {
   readonly moves: readonly MoveRequest[];
-  readonly short: ReadonlyMap<ShareNo, number>;
+  readonly short: ReadonlyMap<ShardId, number>;
 } => {
   const unmet: Short[] = [];
   for (const g of [...demand].sort((a, b) => a.rank - b.rank))
-    for (const [share, n] of g.waiting) {
-      const own = rooms.filter((r) => r.m.share === share);
+    for (const [shard, n] of g.waiting) {
+      const own = rooms.filter((r) => r.m.shard === shard);
       let left = fill(g, n, own);
       if (left > 0 && g.urgent) {
         for (const r of own) yieldTo(g, r);
         left = fill(g, left, own);
       }
-      if (left > 0) unmet.push({ g, share, left });
+      if (left > 0) unmet.push({ g, shard, left });
     }
   const moves = [...take(unmet, rooms, false), ...take(unmet, rooms, true)];
-  const short = new Map<ShareNo, number>();
-  for (const u of unmet) if (u.left > 0) short.set(u.share, (short.get(u.share) ?? 0) + u.left);
+  const short = new Map<ShardId, number>();
+  for (const u of unmet) if (u.left > 0) short.set(u.shard, (short.get(u.shard) ?? 0) + u.left);
   return { moves, short };
 };
 
@@ -266,7 +266,7 @@
   return [...input.demand].sort((a, b) => choices(a) - choices(b));
 };
 
-/** Which idle machines go to shares that lack room, nothing else being moved for them. */
+/** Which idle machines go to shards that lack room, nothing else being moved for them. */
 export const idleMoves = (input: Ground): readonly MoveRequest[] =>
   planMoves(byChoice(input), roomsOf(input)).moves;
 
@@ -286,7 +286,7 @@
     const key = offerKey(m.type.name, m.zone, m.spot);
     asked.set(key, (asked.get(key) ?? 0) + 1);
   }
-  const assign = shareAssigner(input, short);
+  const assign = shardAssigner(input, short);
   const rents = new Map<string, Rent>();
   let total = 0;
   const rent = (g: DemandGroup, count: number, spotOnly: boolean): void => {
@@ -301,7 +301,7 @@
         type: offer.type.name,
         zone: offer.zone,
         spot: offer.spot,
-        shares: [...(r?.shares ?? []), assign(offer.type.capacity.cpus, offer.perMachine)],
+        shards: [...(r?.shards ?? []), assign(offer.type.capacity.cpus, offer.perMachine)],
       });
       total++;
       rest -= offer.perMachine;
@@ -319,17 +319,17 @@
   return { rents: [...rents.values()], moves, returns };
 };
 
-/** New machines go to the share that lacks most, and else to the one that has least. */
-const shareAssigner = (
+/** New machines go to the shard that lacks most, and else to the one that has least. */
+const shardAssigner = (
   input: FleetInput,
-  short: ReadonlyMap<ShareNo, number>,
-): ((cpus: number, slots: number) => ShareNo) => {
+  short: ReadonlyMap<ShardId, number>,
+): ((cpus: number, slots: number) => ShardId) => {
   const lacks = new Map(short);
-  const has = new Map<ShareNo, number>();
-  for (let n = 0; n < input.size; n++) has.set(shareNo(n), 0);
-  for (const m of input.machines) has.set(m.share, (has.get(m.share) ?? 0) + m.type.capacity.cpus);
+  const has = new Map<ShardId, number>();
+  for (let n = 0; n < input.size; n++) has.set(shardId(n), 0);
+  for (const m of input.machines) has.set(m.shard, (has.get(m.shard) ?? 0) + m.type.capacity.cpus);
   return (cpus, perMachine) => {
-    let to = shareNo(0);
+    let to = shardId(0);
     let most = Number.NEGATIVE_INFINITY;
     for (const [n, owned] of has) {
       const lack = lacks.get(n) ?? 0;
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -7,12 +7,13 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { Operators } from "../cli/operators.js";
 import type { Settings } from "../cli/settings.js";
+import type { Logger } from "../observability/log.js";
 import { incarnation } from "../protocol/ids.js";
 import { Caller } from "../transport/client.js";
 import { makeServer } from "../transport/server.js";
 import { socketParts } from "../transport/sockets.js";
-import type { Logger } from "./log.js";
-import { makeNode, type Pass } from "./node.js";
+import { makeNode } from "./node.js";
+import type { PeriodicTask } from "./periodic-task.js";
 
 const listen = (server: http.Server, address: string, backlog: number) =>
   Effect.acquireRelease(
@@ -39,7 +40,7 @@
     const rng = xoroshiro128plus(Number.parseInt(seed.slice(0, 8), 16));
     // Each kind of host has its part of the sockets, so that none can take them all.
     const parts = socketParts(maxSockets, members);
-    const ways = {
+    const connections = {
       state: new Caller(parts.state, parts.state),
       cloud: new Caller(parts.cloud, parts.cloud),
       peers: new Caller(2, parts.peers),
@@ -47,22 +48,24 @@
     };
     const node = yield* Effect.acquireRelease(
       Effect.sync(() =>
-        makeNode(settings, operators, log, ways, incarnation(seed), () => uniformFloat64(rng)),
+        makeNode(settings, operators, log, connections, incarnation(seed), () =>
+          uniformFloat64(rng),
+        ),
       ),
       (n) => Effect.sync(n.stop),
     );
     yield* listen(makeServer(node.front, parts.front, log), settings.front, parts.frontBacklog);
     yield* listen(makeServer(node.inner, parts.inner, log), settings.internal, parts.inner);
 
-    /** A failed pass is logged and tried again: nothing that goes wrong in one ends the process. */
-    const repeat = (p: Pass) =>
-      Effect.tryPromise(p.run).pipe(
+    /** A failed task is logged and tried again: nothing that goes wrong in one ends the process. */
+    const repeat = (task: PeriodicTask) =>
+      Effect.tryPromise(task.run).pipe(
         Effect.catch((e) =>
-          Effect.sync(() => log.error(`${p.name} failed`, { error: String(e.cause ?? e) })),
+          Effect.sync(() => log.error(`${task.name} failed`, { error: String(e.cause ?? e) })),
         ),
-        Effect.repeat(Schedule.spaced(p.everyMs)),
+        Effect.repeat(Schedule.spaced(task.everyMs)),
       );
-    return yield* Effect.all(node.passes.map(repeat), { concurrency: "unbounded" }).pipe(
+    return yield* Effect.all(node.tasks.map(repeat), { concurrency: "unbounded" }).pipe(
       Effect.andThen(Effect.never),
     );
   });
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -1,10 +1,13 @@
 import type { Operators } from "../cli/operators.js";
 import type { Settings } from "../cli/settings.js";
-import { Awake } from "../coordination/awake.js";
 import { Cancellations } from "../coordination/cancels.js";
-import { Holder } from "../coordination/holder.js";
+import type { Context } from "../coordination/context.js";
 import { Leader } from "../coordination/leader.js";
-import { Membership, NO_WORDS, type Words } from "../coordination/membership.js";
+import { Membership, NO_ANSWERS, type PeerAnswers } from "../coordination/membership.js";
+import { PauseDetector } from "../coordination/pause-detector.js";
+import { ShardOwner } from "../coordination/shard-owner.js";
+import type { Logger } from "../observability/log.js";
+import { Metrics } from "../observability/metrics.js";
 import type { Incarnation } from "../protocol/ids.js";
 import { decodePeer } from "../protocol/peer.js";
 import { classify, NOW } from "../storage/records.js";
@@ -13,56 +16,46 @@
 import type { Calls } from "../transport/client.js";
 import { sleep, steadyNow } from "../transport/clock.js";
 import { type Answer, decodeBody, type Handler } from "../transport/server.js";
-import type { Context } from "./context.js";
-import type { Logger } from "./log.js";
-import { Metrics } from "./metrics.js";
+import { type PeriodicTask, periodicTask, rested } from "./periodic-task.js";
 import { Users } from "./users.js";
 
 const WATCH_MS = 10_000;
 const RETRY_MS = 200;
 const MEMBERSHIP_MS = 250;
 const MIN_ROUND_GAP_MS = 15;
-const LOOK_MS = 400;
+const STANDING_MS = 400;
 const ADOPT_MS = 400;
 const REBALANCE_MS = 200;
-/** How many times as long as it took a rebalance rests, and what is too short to count. */
+/** How many times as long as it took a rebalance rests. */
 const REBALANCE_REST = 5;
-const LEAST_REST_MS = 2;
 const CANCELS_MS = 500;
 const FAILING_EVERY_MS = 2000;
 const PEER_MS = 800;
 const SERVED_PATH = "/served";
-const HEARS_PATH = "/hears";
-const PULSE_MS = 250;
+const HEARTBEATS_PATH = "/hears";
+const PAUSE_CHECK_MS = 250;
 
 /** What a node reaches the world through. */
-export interface Ways {
+export interface Connections {
   readonly state: Calls;
   readonly cloud: Calls;
   readonly workers: Calls;
   readonly peers: Calls;
 }
 
-/** A job that is done again and again, `everyMs` after it last ended. */
-export interface Pass {
-  readonly name: string;
-  readonly everyMs: number;
-  readonly run: () => Promise<unknown>;
-}
-
 export interface Node {
   readonly front: Handler;
   readonly inner: Handler;
-  readonly passes: readonly Pass[];
+  readonly tasks: readonly PeriodicTask[];
   readonly stop: () => void;
 }
 
-/** All parts of one controller, put together; whoever calls this runs the passes and the servers. */
+/** All parts of one controller, put together; whoever calls this runs the tasks and the servers. */
 export const makeNode = (
   settings: Settings,
   operators: Operators,
   log: Logger,
-  ways: Ways,
+  connections: Connections,
   incarnation: Incarnation,
   random: () => number,
 ): Node => {
@@ -71,14 +64,14 @@
     settings,
     teams: new Map(settings.teams.map((t) => [t.name, t])),
     operators,
-    store: new Store(settings.stateAddress, settings.state, ways.state, members),
+    store: new Store(settings.stateAddress, settings.state, connections.state, members),
     replica: new Replica(),
     me: { label: settings.label, incarnation },
     log,
     random,
     metrics: new Metrics(),
     // Half of its lease: after a longer pause it may have lapsed, and others may hold what it held.
-    awake: new Awake(steadyNow(), operators.memberLeaseMs / 2),
+    pauses: new PauseDetector(steadyNow(), operators.memberLeaseMs / 2),
     synced: false,
     stopping: false,
   };
@@ -88,10 +81,24 @@
     roundDue = true;
     wakeRounds?.();
   };
-  const membership: Membership = new Membership(ctx, () => holder.dealings.reaches());
-  const holder: Holder = new Holder(ctx, membership, ways.workers, wake);
-  const leader = new Leader(ctx, membership, holder, ways.cloud, ways.peers, ways.workers);
-  const cancels = new Cancellations(ctx, membership, holder, ways.cloud, ways.peers, ways.workers);
+  const membership: Membership = new Membership(ctx, () => owner.channel.reaches());
+  const owner: ShardOwner = new ShardOwner(ctx, membership, connections.workers, wake);
+  const leader = new Leader(
+    ctx,
+    membership,
+    owner,
+    connections.cloud,
+    connections.peers,
+    connections.workers,
+  );
+  const cancels = new Cancellations(
+    ctx,
+    membership,
+    owner,
+    connections.cloud,
+    connections.peers,
+    connections.workers,
+  );
   const users = new Users(ctx, membership, wake, (w) => cancels.confirm(w));
 
   const front: Handler = (req) => {
@@ -100,7 +107,7 @@
       if (method !== "POST") return { status: 405 };
       const d = decodeBody(req.bytes);
       if (!d.ok) return { status: 400, body: { error: "not CBOR" } };
-      return holder.beat(d.value, (r) => leader.adopt(r));
+      return owner.heartbeat(d.value, (r) => leader.adopt(r));
     }
     if (path === "/ready") return method === "GET" ? users.ready() : { status: 405 };
     if (path === "/work") return method === "POST" ? users.submit(req.bytes) : { status: 405 };
@@ -115,16 +122,17 @@
   const inner: Handler = (req): Answer => {
     // Whether the state service serves us: for one that it refuses, to tell its own trouble.
     if (req.path === SERVED_PATH) return { status: ctx.synced && !ctx.store.failing() ? 204 : 503 };
-    if (req.path === HEARS_PATH) {
-      const hears = ctx.synced && membership.entitled() ? holder.dealings.hears() : undefined;
-      return { status: hears === undefined ? 404 : hears ? 204 : 503 };
+    if (req.path === HEARTBEATS_PATH) {
+      const heard =
+        ctx.synced && membership.entitled() ? owner.channel.receivesHeartbeats() : undefined;
+      return { status: heard === undefined ? 404 : heard ? 204 : 503 };
     }
     if (req.path !== "/peer") return { status: 404 };
     if (req.method !== "POST") return { status: 405 };
     try {
       const m = decodePeer(req.bytes);
-      for (const x of m.moves) holder.requestMove(x);
-      for (const id of m.retire) holder.requestRetire(id, m.reason);
+      for (const x of m.moves) owner.requestMove(x);
+      for (const id of m.retire) owner.requestRetire(id, m.reason);
       // Not yet knowing what it holds, it could not say that it will see to it.
       if (m.cancelled.length > 0 && !ctx.synced) return { status: 503 };
       cancels.heard(m.cancelled);
@@ -144,9 +152,9 @@
     return true;
   };
 
-  const tendSoon = (): void => {
+  const reconcileSoon = (): void => {
     wake();
-    membership.tend().catch((e) => log.error("membership failed", { error: String(e) }));
+    membership.reconcile().catch((e) => log.error("membership failed", { error: String(e) }));
   };
 
   const follow = async (): Promise<void> => {
@@ -154,7 +162,7 @@
       if (!(await rescan())) return sleep(RETRY_MS);
       ctx.synced = true;
       log.info("synced", { rev: ctx.replica.position, jobs: ctx.replica.accepted.size });
-      tendSoon();
+      reconcileSoon();
     }
     const w = await ctx.store.watch(NOW, ctx.replica.position, WATCH_MS);
     if (w.kind === "unavailable") return sleep(RETRY_MS);
@@ -172,7 +180,7 @@
     }
     membership.othersWrote(others);
     ctx.replica.advance(w.rev);
-    if (w.changes.length > 0) tendSoon();
+    if (w.changes.length > 0) reconcileSoon();
   };
 
   const rounds = async (): Promise<void> => {
@@ -186,7 +194,7 @@
     wakeRounds = undefined;
     roundDue = false;
     const began = steadyNow();
-    const round = holder.round();
+    const round = owner.round();
     // As long as was decided for, what happens gathers into a wider batch: however much there is to
     // decide, reports, users and leases keep half of the processor.
     const restUntil = steadyNow() + Math.min(operators.roundMs, steadyNow() - began);
@@ -198,43 +206,34 @@
     if (restMs > 0) await sleep(restMs);
   };
 
-  /** A decision that rests for `times` as long as it took, so that it takes a bounded part. */
-  const rested = (times: number, run: () => Promise<unknown>) => async (): Promise<void> => {
-    const began = steadyNow();
-    const done = run();
-    const tookMs = steadyNow() - began;
-    await done;
-    if (tookMs >= LEAST_REST_MS) await sleep(times * tookMs);
-  };
-
   /** What the other controllers say of themselves: yes, no, or nothing. */
-  const askPeers = async (path: string): Promise<Words> => {
-    const words = await Promise.all(
-      settings.seeds.map((s) => ways.peers.raw(s.address, "GET", path, undefined, PEER_MS)),
+  const askPeers = async (path: string): Promise<PeerAnswers> => {
+    const answers = await Promise.all(
+      settings.seeds.map((s) => connections.peers.raw(s.address, "GET", path, undefined, PEER_MS)),
     );
     const count = (status: number): number =>
-      words.filter((w) => w.kind === "answer" && w.status === status).length;
+      answers.filter((w) => w.kind === "answer" && w.status === status).length;
     return { served: count(204), unserved: count(503) };
   };
 
   let wasAway = false;
   /** One look at how we stand; in trouble, the other controllers are asked how they do. */
-  const look = async (): Promise<void> => {
-    const words = ctx.store.failing() ? await askPeers(SERVED_PATH) : NO_WORDS;
+  const updateStanding = async (): Promise<void> => {
+    const answers = ctx.store.failing() ? await askPeers(SERVED_PATH) : NO_ANSWERS;
     const before = membership.standing;
     const away = membership.away;
-    const standing = membership.look(words);
+    const standing = membership.updateStanding(answers);
     // What was not heard in a trouble of our own is held against nobody.
     // So after it had resigned: the machines given back are heard anew. (docs/incidents, inc-58fc)
     const returned = wasAway && !away;
     wasAway = away;
     if (returned || (before === "alone" && standing !== "alone"))
-      holder.dealings.startAnew(steadyNow());
+      owner.channel.startAnew(steadyNow());
     const others = ctx.replica.members.size > 1;
-    if (holder.dealings.way !== "blind" || !others) return;
+    if (owner.channel.connectivity !== "disconnected" || !others) return;
     if (standing !== "served" || !membership.entitled()) return;
     // Where the others don't hear theirs either, there is nobody to step aside for.
-    const hearing = await askPeers(HEARS_PATH);
+    const hearing = await askPeers(HEARTBEATS_PATH);
     if (hearing.served > 0 || hearing.unserved === 0) await membership.resign();
   };
 
@@ -244,7 +243,7 @@
     log.info("stats", {
       jobs: ctx.replica.accepted.size,
       machines: ctx.replica.machines.size,
-      holder: holder.stats(),
+      owner: owner.stats(),
       cancels: cancels.stats(),
       ...(membership.leads() ? { leader: leader.stats() } : {}),
       state: ctx.store.counters,
@@ -256,36 +255,31 @@
     });
   };
 
-  const pass = (name: string, everyMs: number, run: () => Promise<unknown>): Pass => ({
-    name,
-    everyMs,
-    run,
-  });
   return {
     front,
     inner,
-    passes: [
-      pass("pulse", PULSE_MS, async () => holder.look()),
-      pass("lease", Math.floor(operators.memberLeaseMs / 4), () => membership.keepLease()),
-      pass("membership", MEMBERSHIP_MS, () => membership.tend()),
-      pass("look", LOOK_MS, look),
-      pass("adopt", ADOPT_MS, () => leader.adoptAll()),
-      pass("cancels", CANCELS_MS, () => cancels.tend()),
-      pass("watch", operators.watchPauseMs, follow),
-      pass("rounds", MIN_ROUND_GAP_MS, rounds),
-      pass("cloud", operators.fleetPeriodMs, () => leader.callCloud()),
-      pass("failing", FAILING_EVERY_MS, () => leader.tellFailing()),
-      pass(
+    tasks: [
+      periodicTask("pauses", PAUSE_CHECK_MS, async () => owner.detectPause()),
+      periodicTask("lease", Math.floor(operators.memberLeaseMs / 4), () => membership.keepLease()),
+      periodicTask("membership", MEMBERSHIP_MS, () => membership.reconcile()),
+      periodicTask("standing", STANDING_MS, updateStanding),
+      periodicTask("adopt", ADOPT_MS, () => leader.adoptAll()),
+      periodicTask("cancels", CANCELS_MS, () => cancels.reconcile()),
+      periodicTask("watch", operators.watchPauseMs, follow),
+      periodicTask("rounds", MIN_ROUND_GAP_MS, rounds),
+      periodicTask("cloud", operators.fleetPeriodMs, () => leader.callCloud()),
+      periodicTask("failing", FAILING_EVERY_MS, () => leader.tellFailing()),
+      periodicTask(
         "rebalance",
         REBALANCE_MS,
         rested(REBALANCE_REST, () => leader.rebalance()),
       ),
-      pass("fleet", operators.fleetPeriodMs, () => leader.plan()),
-      pass("stats", operators.statsPeriodS * 1000, stats),
+      periodicTask("fleet", operators.fleetPeriodMs, () => leader.plan()),
+      periodicTask("stats", operators.statsPeriodS * 1000, stats),
     ],
     stop: () => {
       ctx.stopping = true;
-      for (const c of Object.values(ways)) c.close();
+      for (const c of Object.values(connections)) c.close();
     },
   };
 };
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -1,3 +1,4 @@
+import { absorb, type Context } from "../coordination/context.js";
 import type { Membership } from "../coordination/membership.js";
 import { ABSENT, type JobId, jobId } from "../protocol/ids.js";
 import {
@@ -8,7 +9,7 @@
   parseSubmission,
   submissionId,
 } from "../protocol/jobs.js";
-import type { CancelWord } from "../protocol/peer.js";
+import type { CancelNotice } from "../protocol/peer.js";
 import { CONDITIONS_PER_OP } from "../protocol/store.js";
 import { fits } from "../scheduling/resources.js";
 import { GroupCommit } from "../storage/group-commit.js";
@@ -25,7 +26,6 @@
 } from "../storage/records.js";
 import { steadyNow, timeOfDay } from "../transport/clock.js";
 import { type Answer, decodeBody } from "../transport/server.js";
-import { absorb, type Context } from "./context.js";
 
 /** What was read this long ago is not told any more. */
 const STALE_MS = 1000;
@@ -61,10 +61,10 @@
   constructor(
     private readonly ctx: Context,
     private readonly membership: Membership,
-    /** Called when a job of a share held here changed. */
+    /** Called when a job of a shard held here changed. */
     private readonly wake: () => void,
     /** Whether a cancellation that is written is held to, so that a user may be told of it. */
-    private readonly confirm: (w: CancelWord) => Promise<boolean>,
+    private readonly confirm: (w: CancelNotice) => Promise<boolean>,
   ) {
     const mostOps = ctx.settings.state.txnOps;
     const mostConditions = mostOps * CONDITIONS_PER_OP;
@@ -221,7 +221,7 @@
         const askedAt = steadyNow();
         return this.#cancelled(job, { kind: "live", job: cancelled, rev: r.rev, askedAt });
       }
-      // The holder wrote between our read and our write: read again.
+      // The owner wrote between our read and our write: read again.
       if (r.kind !== "conflict") return busy();
     }
     return busy();
--- a/src/storage/job-index.ts
+++ b/src/storage/job-index.ts
@@ -1,6 +1,6 @@
 import type { JobId, TeamName } from "../protocol/ids.js";
 import type { JobSpec, Resources } from "../protocol/jobs.js";
-import { type LiveJob, waitingCount } from "./records.js";
+import { doneCount, type LiveJob, waitingCount } from "./records.js";
 
 /** A team as far as guarantees go. */
 export interface Guarantee {
@@ -44,6 +44,8 @@
   readonly waiting = new Map<JobId, LiveJob>();
   /** Jobs that were cancelled and have no final record yet. */
   readonly cancelled = new Map<JobId, LiveJob>();
+  /** Jobs whose tasks have all completed and that have no final record yet. */
+  readonly complete = new Map<JobId, LiveJob>();
   readonly #needs = new Map<string, Counted>();
   readonly #openByTeam = new Map<TeamName, Map<string, Counted>>();
   /** Jobs that were not cancelled, in the order in which they were accepted. */
@@ -103,6 +105,7 @@
     if (after === undefined) {
       this.waiting.delete(id);
       this.cancelled.delete(id);
+      this.complete.delete(id);
     }
     if (after?.spec !== spec) addCount(this.#needs, spec.needs, -1);
     if (before.open.length > 0) {
@@ -121,6 +124,8 @@
     else this.waiting.delete(id);
     if (after.cancelledAt !== null) this.cancelled.set(id, after);
     else this.cancelled.delete(id);
+    if (after.cancelledAt === null && doneCount(after) === spec.tasks) this.complete.set(id, after);
+    else this.complete.delete(id);
     if (before?.spec !== spec) addCount(this.#needs, spec.needs, 1);
     if (after.open.length > 0) {
       const counts = this.#openByTeam.get(spec.team) ?? new Map<string, Counted>();
--- a/src/storage/pages.ts
+++ b/src/storage/pages.ts
@@ -6,7 +6,7 @@
   type MachineId,
   machineId,
   revision,
-  type ShareNo,
+  type ShardId,
   wall,
 } from "../protocol/ids.js";
 import { isJobId } from "../protocol/jobs.js";
@@ -14,7 +14,7 @@
 import type { MachineRecord, OpenAttempt, Progress } from "./records.js";
 
 /**
- * Pages: records that hold many things of one share, so that a round changes a few keys however
+ * Pages: records that hold many things of one shard, so that a round changes a few keys however
  * many tasks started or ended in it. A work page holds the progress of jobs, a fleet page machines.
  * Names are written once a page and referred to by number.
  */
@@ -126,7 +126,7 @@
 };
 
 export const parseFleetPage = (
-  share: ShareNo,
+  shard: ShardId,
   v: unknown,
 ): ReadonlyMap<MachineId, MachineRecord> | undefined => {
   if (!isMap(v)) return undefined;
@@ -140,7 +140,7 @@
     const bits = count(flags);
     if (typeof id !== "string" || id === "" || bits === undefined) continue;
     out.set(machineId(id), {
-      share,
+      shard,
       type: types[Number(type)] ?? "",
       zone: zones[Number(zone)] ?? "",
       spot: (bits & SPOT) !== 0,
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -10,8 +10,8 @@
   type MachineId,
   machineId,
   type Revision,
-  type ShareNo,
-  shareNo,
+  type ShardId,
+  shardId,
   type TeamName,
   teamName,
   type Wall,
@@ -27,10 +27,10 @@
 export const NOW = "now/";
 const PREFIX = {
   member: `${NOW}member/`,
-  share: `${NOW}share/`,
+  shard: `${NOW}share/`,
   work: `${NOW}work/`,
   fleet: `${NOW}fleet/`,
-  hire: `${NOW}hire/`,
+  rental: `${NOW}hire/`,
   gone: `${NOW}gone/`,
   live: `${NOW}live/`,
 } as const;
@@ -39,13 +39,13 @@
   types: `${NOW}types`,
   teams: `${NOW}teams`,
   member: (l: ControllerLabel): string => PREFIX.member + l,
-  share: (n: ShareNo): string => PREFIX.share + n,
-  /** Progress of jobs of a share. Such a page is never deleted, so its name may be used again. */
-  work: (n: ShareNo, page: number): string => `${PREFIX.work}${n}/${page}`,
-  /** Machines of a share. Its name begins with a revision of its writer's and is never reused. */
-  fleet: (n: ShareNo, name: string): string => `${PREFIX.fleet}${n}/${name}`,
+  shard: (n: ShardId): string => PREFIX.shard + n,
+  /** Progress of jobs of a shard. Such a page is never deleted, so its name may be used again. */
+  work: (n: ShardId, page: number): string => `${PREFIX.work}${n}/${page}`,
+  /** Machines of a shard. Its name begins with a revision of its writer's and is never reused. */
+  fleet: (n: ShardId, name: string): string => `${PREFIX.fleet}${n}/${name}`,
   gone: (name: string): string => PREFIX.gone + name,
-  hire: (name: string): string => PREFIX.hire + name,
+  rental: (name: string): string => PREFIX.rental + name,
   live: (id: JobId): string => PREFIX.live + id,
   final: (id: JobId): string => `final/${id}`,
 } as const;
@@ -62,16 +62,16 @@
 };
 
 /** Who a record names: a label and the one process start under it. */
-export interface Holder {
+export interface ControllerId {
   readonly label: ControllerLabel;
   readonly incarnation: Incarnation;
 }
 
-export const sameHolder = (a: Holder | undefined, b: Holder): boolean =>
+export const sameController = (a: ControllerId | undefined, b: ControllerId): boolean =>
   a !== undefined && a.label === b.label && a.incarnation === b.incarnation;
 
-export const holderValue = (h: Holder): unknown => ({ l: h.label, i: h.incarnation });
-export const parseHolder = (v: unknown): Holder | undefined => {
+export const controllerIdValue = (h: ControllerId): unknown => ({ l: h.label, i: h.incarnation });
+export const parseControllerId = (v: unknown): ControllerId | undefined => {
   if (!isMap(v)) return undefined;
   const l = text(v.l);
   const i = text(v.i);
@@ -83,12 +83,12 @@
 /**
  * `up`: rented, perhaps still booting. `retiring`: to be returned by the leader, nothing new
  * starts there. One that the cloud's word proves gone is named by a `gone` record until its
- * holder has closed its attempts and dropped it.
+ * owner has closed its attempts and dropped it.
  */
 export type MachineStage = "up" | "retiring";
 
 export interface MachineRecord {
-  readonly share: ShareNo;
+  readonly shard: ShardId;
   readonly type: string;
   readonly zone: string;
   readonly spot: boolean;
@@ -115,34 +115,34 @@
 };
 
 /** The intent to rent, written before the call. */
-export interface HireRecord {
+export interface RentalIntent {
   readonly type: string;
   readonly zone: string;
   readonly spot: boolean;
-  /** The share that each of the machines is for; as many are asked for. */
-  readonly shares: readonly ShareNo[];
+  /** The shard that each of the machines is for; as many are asked for. */
+  readonly shards: readonly ShardId[];
   readonly at: Wall;
 }
 
-export const hireValue = (h: HireRecord): unknown => ({
+export const rentalIntentValue = (h: RentalIntent): unknown => ({
   t: h.type,
   z: h.zone,
   p: h.spot,
-  s: h.shares,
+  s: h.shards,
   a: h.at,
 });
 
-export const parseHire = (v: unknown): HireRecord | undefined => {
+export const parseRentalIntent = (v: unknown): RentalIntent | undefined => {
   if (!isMap(v)) return undefined;
   const t = text(v.t);
   const z = text(v.z);
-  const shares = list(v.s)?.map(count);
-  if (t === undefined || z === undefined || shares === undefined) return undefined;
+  const shards = list(v.s)?.map(count);
+  if (t === undefined || z === undefined || shards === undefined) return undefined;
   return {
     type: t,
     zone: z,
     spot: v.p === true,
-    shares: shares.map((n) => shareNo(n ?? 0)),
+    shards: shards.map((n) => shardId(n ?? 0)),
     at: wall(amount(v.a) ?? 0),
   };
 };
@@ -162,7 +162,7 @@
 }
 
 /**
- * How far a job has come, kept in a page of its share. Attempt numbers come from one counter for
+ * How far a job has come, kept in a page of its shard. Attempt numbers come from one counter for
  * the whole job, so none is used twice for a task and none need be kept for tasks not open.
  */
 export interface Progress {
@@ -285,15 +285,15 @@
     ];
   });
 
-export const teamsValue = (teams: ReadonlyMap<TeamName, ShareNo>): unknown =>
+export const teamsValue = (teams: ReadonlyMap<TeamName, ShardId>): unknown =>
   Object.fromEntries(teams);
 
-export const parseTeams = (v: unknown): ReadonlyMap<TeamName, ShareNo> => {
-  const out = new Map<TeamName, ShareNo>();
+export const parseTeams = (v: unknown): ReadonlyMap<TeamName, ShardId> => {
+  const out = new Map<TeamName, ShardId>();
   if (!isMap(v)) return out;
   for (const [name, n] of Object.entries(v)) {
-    const share = count(n);
-    if (share !== undefined) out.set(teamName(name), shareNo(share));
+    const shard = count(n);
+    if (shard !== undefined) out.set(teamName(name), shardId(shard));
   }
   return out;
 };
--- a/src/storage/replica.ts
+++ b/src/storage/replica.ts
@@ -8,28 +8,28 @@
   type MachineId,
   type Revision,
   revision,
-  type ShareNo,
-  shareNo,
+  type ShardId,
+  shardId,
   type TeamName,
 } from "../protocol/ids.js";
 import type { Change, Item } from "../protocol/store.js";
 import { parseFleetPage } from "./pages.js";
 import {
   type Accepted,
+  type ControllerId,
   classify,
   type GoneRecord,
-  type HireRecord,
-  type Holder,
   type LiveJob,
   type MachineRecord,
+  parseControllerId,
   parseGone,
-  parseHire,
-  parseHolder,
   parseLive,
+  parseRentalIntent,
   parseTeams,
   parseTypesRecord,
+  type RentalIntent,
 } from "./records.js";
-import { ShareWork } from "./work.js";
+import { ShardJobs } from "./shard-jobs.js";
 
 export interface Versioned<T> {
   readonly value: T;
@@ -37,7 +37,7 @@
 }
 
 export interface FleetPage {
-  readonly share: ShareNo;
+  readonly shard: ShardId;
   readonly rev: Revision;
   readonly machines: ReadonlyMap<MachineId, MachineRecord>;
 }
@@ -50,13 +50,13 @@
   readonly machines = new Map<MachineId, MachineRecord>();
   readonly #pageOf = new Map<MachineId, string>();
   readonly fleetPages = new Map<string, FleetPage>();
-  readonly shares = new Map<ShareNo, Versioned<Holder>>();
-  readonly members = new Map<ControllerLabel, Versioned<Holder>>();
-  readonly hires = new Map<string, Versioned<HireRecord>>();
+  readonly shards = new Map<ShardId, Versioned<ControllerId>>();
+  readonly members = new Map<ControllerLabel, Versioned<ControllerId>>();
+  readonly rentals = new Map<string, Versioned<RentalIntent>>();
   readonly goneRecords = new Map<string, Versioned<GoneRecord>>();
-  leader: Versioned<Holder> | undefined;
+  leader: Versioned<ControllerId> | undefined;
   types: Versioned<readonly MachineType[]> | undefined;
-  teams: Versioned<ReadonlyMap<TeamName, ShareNo>> | undefined;
+  teams: Versioned<ReadonlyMap<TeamName, ShardId>> | undefined;
   /** All changes up to here are in. */
   position = revision(0);
   /** The highest revision heard of: some change up to here is known, not all need be. */
@@ -69,43 +69,43 @@
   /** Puts and deletes under `now/` that came with the watch, our own among them. */
   changesSeen = 0;
   readonly #gone = new Set<MachineId>();
-  readonly #work = new Map<ShareNo, ShareWork>();
+  readonly #work = new Map<ShardId, ShardJobs>();
   readonly #revs = new Map<string, Revision>();
   /** Keys deleted beyond what the watch has told: its older news must not bring them back. */
   readonly #dropped = new Map<string, Revision>();
 
-  /** The jobs of a share and their open attempts. */
-  work(share: ShareNo): ShareWork {
-    let w = this.#work.get(share);
+  /** The jobs of a shard and their open attempts. */
+  work(shard: ShardId): ShardJobs {
+    let w = this.#work.get(shard);
     if (w === undefined) {
-      w = new ShareWork((id) => this.accepted.get(id)?.value);
-      this.#work.set(share, w);
+      w = new ShardJobs((id) => this.accepted.get(id)?.value);
+      this.#work.set(shard, w);
     }
     return w;
   }
 
-  shareOf(id: JobId): ShareNo | undefined {
+  shardOf(id: JobId): ShardId | undefined {
     const a = this.accepted.get(id);
     return a === undefined ? undefined : this.teams?.value.get(a.value.spec.team);
   }
 
   job(id: JobId): LiveJob | undefined {
-    const share = this.shareOf(id);
-    return share === undefined ? undefined : this.work(share).jobs.get(id);
+    const shard = this.shardOf(id);
+    return shard === undefined ? undefined : this.work(shard).jobs.get(id);
   }
 
-  /** The live jobs of all shares. */
+  /** The live jobs of all shards. */
   *allJobs(): Iterable<readonly [JobId, LiveJob]> {
     for (const w of this.#work.values()) yield* w.jobs;
   }
 
   /** The work of each shard of which something is known. */
-  works(): Iterable<ShareWork> {
+  works(): Iterable<ShardJobs> {
     return this.#work.values();
   }
 
-  openOn(id: MachineId): ReturnType<ShareWork["openOn"]> {
-    return this.work(this.machines.get(id)?.share ?? shareNo(0)).openOn(id);
+  openOn(id: MachineId): ReturnType<ShardJobs["openOn"]> {
+    return this.work(this.machines.get(id)?.shard ?? shardId(0)).openOn(id);
   }
 
   fleetPageOf(id: MachineId): string | undefined {
@@ -167,13 +167,13 @@
         return;
       }
       case "work":
-        this.work(shareOfPage(name)).pageChanged(key, value, rev);
+        this.work(shardOfPage(name)).pageChanged(key, value, rev);
         return;
       case "fleet": {
-        const share = shareOfPage(name);
+        const shard = shardOfPage(name);
         // An unreadable page leaves what was last known of its machines.
-        const machines = parseFleetPage(share, value) ?? this.fleetPages.get(key)?.machines;
-        this.#fleetPage(key, { share, rev, machines: machines ?? new Map() });
+        const machines = parseFleetPage(shard, value) ?? this.fleetPages.get(key)?.machines;
+        this.#fleetPage(key, { shard, rev, machines: machines ?? new Map() });
         return;
       }
       case "gone":
@@ -181,18 +181,18 @@
         for (const id of this.goneRecords.get(name)?.value.ids ?? []) this.goneLately.add(id);
         this.#goneChanged();
         return;
-      case "share":
-        keep(this.shares, shareNo(Number(name)), parseHolder(value), rev);
+      case "shard":
+        keep(this.shards, shardId(Number(name)), parseControllerId(value), rev);
         this.fleetVersion++;
         return;
       case "member":
-        keep(this.members, controllerLabel(name), parseHolder(value), rev);
+        keep(this.members, controllerLabel(name), parseControllerId(value), rev);
         return;
-      case "hire":
-        keep(this.hires, name, parseHire(value), rev);
+      case "rental":
+        keep(this.rentals, name, parseRentalIntent(value), rev);
         return;
       case "leader": {
-        const h = parseHolder(value);
+        const h = parseControllerId(value);
         this.leader = h === undefined ? undefined : { value: h, rev };
         return;
       }
@@ -216,7 +216,7 @@
         this.accepted.delete(jobId(name));
         return;
       case "work":
-        this.work(shareOfPage(name)).pageChanged(key, { m: [], j: [] }, ABSENT);
+        this.work(shardOfPage(name)).pageChanged(key, { m: [], j: [] }, ABSENT);
         return;
       case "fleet":
         this.#fleetPage(key, undefined);
@@ -225,15 +225,15 @@
         this.goneRecords.delete(name);
         this.#goneChanged();
         return;
-      case "share":
-        this.shares.delete(shareNo(Number(name)));
+      case "shard":
+        this.shards.delete(shardId(Number(name)));
         this.fleetVersion++;
         return;
       case "member":
         this.members.delete(controllerLabel(name));
         return;
-      case "hire":
-        this.hires.delete(name);
+      case "rental":
+        this.rentals.delete(name);
         return;
       case "leader":
         this.leader = undefined;
@@ -250,8 +250,8 @@
   }
 
   #jobChanged(id: JobId): void {
-    const share = this.shareOf(id);
-    if (share !== undefined) this.work(share).jobChanged(id);
+    const shard = this.shardOf(id);
+    if (shard !== undefined) this.work(shard).jobChanged(id);
   }
 
   #fleetPage(key: string, next: FleetPage | undefined): void {
@@ -284,7 +284,7 @@
   }
 }
 
-const shareOfPage = (name: string): ShareNo => shareNo(Number(name.slice(0, name.indexOf("/"))));
+const shardOfPage = (name: string): ShardId => shardId(Number(name.slice(0, name.indexOf("/"))));
 
 const keep = <K, V>(
   map: Map<K, Versioned<V>>,
