--- a/src/storage/work.ts
+++ b/src/storage/shard-jobs.ts
@@ -40,10 +40,10 @@
 };
 
 /**
- * The work of one share: its jobs with their progress. Pages are read when somebody asks, not
- * when they change: a controller that neither holds the share nor leads never reads them.
+ * The work of one shard: its jobs with their progress. Pages are read when somebody asks, not
+ * when they change: a controller that neither holds the shard nor leads never reads them.
  */
-export class ShareWork {
+export class ShardJobs {
   readonly #jobs = new Map<JobId, LiveJob>();
   readonly #index = new JobIndex();
   readonly #pages = new Map<string, Page>();
--- a/src/transport/server.ts
+++ b/src/transport/server.ts
@@ -1,6 +1,6 @@
 import http from "node:http";
+import type { Logger } from "../observability/log.js";
 import { decode, encode } from "../protocol/cbor.js";
-import type { Logger } from "../service/log.js";
 
 export interface Answer {
   readonly status: number;
--- a/test/codecs.test.ts
+++ b/test/codecs.test.ts
@@ -3,7 +3,7 @@
 import { checkOperators, parseOperators } from "../src/cli/operators.js";
 import { parseSettings } from "../src/cli/settings.js";
 import { decode, encode } from "../src/protocol/cbor.js";
-import { attemptNo, jobId, machineId, revision, shareNo, wall } from "../src/protocol/ids.js";
+import { attemptNo, jobId, machineId, revision, shardId, wall } from "../src/protocol/ids.js";
 import { parseSubmission } from "../src/protocol/jobs.js";
 import { decodePeer, encodePeer } from "../src/protocol/peer.js";
 import { parseReport } from "../src/protocol/workers.js";
@@ -89,7 +89,7 @@
 const reports: readonly [string, unknown, boolean][] = [
   ["the protocol's example", REPORT, true],
   ["no tasks", { ...REPORT, threads: [] }, true],
-  ["not a map", "beat", false],
+  ["not a map", "heartbeat", false],
   ["no session", { ...REPORT, shift: undefined }, false],
   ["one unreadable task spoils the list", { ...REPORT, threads: [{ thread: "x" }] }, false],
   [
@@ -139,7 +139,7 @@
 
 test("a fleet page keeps its machines", () => {
   const m = (zone: string, spot: boolean, stage: "up" | "retiring") => ({
-    share: shareNo(2),
+    shard: shardId(2),
     type: "g8",
     zone,
     spot,
@@ -152,13 +152,13 @@
     [machineId("m-1"), m("a", true, "up")],
     [machineId("m-2"), m("b", false, "retiring")],
   ]);
-  assert.deepEqual(parseFleetPage(shareNo(2), over(fleetPageValue(machines))), machines);
+  assert.deepEqual(parseFleetPage(shardId(2), over(fleetPageValue(machines))), machines);
 });
 
 test("peer messages", () => {
   const m = {
     from: "loom-1",
-    moves: [{ machine: machineId("m-000001"), to: shareNo(2), vacate: true }],
+    moves: [{ machine: machineId("m-000001"), to: shardId(2), drain: true }],
     retire: [machineId("m-000002")],
     reason: "failed",
     failing: [jobId("wk-000007")],
--- a/test/coordination.test.ts
+++ b/test/coordination.test.ts
@@ -1,10 +1,14 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { Awake } from "../src/coordination/awake.js";
 import { Batch } from "../src/coordination/batch.js";
+import {
+  type Connectivity,
+  type ConnectivityView,
+  judgeConnectivity,
+} from "../src/coordination/connectivity.js";
 import { type Evidence, HEALTHY, type Health, stepHealth } from "../src/coordination/health.js";
-import { assignTeams, planShares } from "../src/coordination/shares.js";
-import { judgeWay, type Way, type WayView } from "../src/coordination/way.js";
+import { PauseDetector } from "../src/coordination/pause-detector.js";
+import { assignTeams, planShards } from "../src/coordination/shards.js";
 import {
   attemptNo,
   controllerLabel,
@@ -13,39 +17,39 @@
   machineId,
   mono,
   revision,
-  shareNo,
+  shardId,
   teamName,
 } from "../src/protocol/ids.js";
-import type { Holder } from "../src/storage/records.js";
+import type { ControllerId } from "../src/storage/records.js";
 import { Replica } from "../src/storage/replica.js";
 
-const holder = (label: string, inc = `${label}-1`): Holder => ({
+const holder = (label: string, inc = `${label}-1`): ControllerId => ({
   label: controllerLabel(label),
   incarnation: incarnation(inc),
 });
 
-const shareCases: readonly {
+const shardCases: readonly {
   name: string;
-  shares: readonly (readonly [number, Holder])[];
-  members: readonly Holder[];
+  shards: readonly (readonly [number, ControllerId])[];
+  members: readonly ControllerId[];
   steady?: readonly string[];
   plan: readonly string[];
 }[] = [
   {
     name: "each takes its part of what nobody holds",
-    shares: [],
+    shards: [],
     members: [holder("a"), holder("b"), holder("c")],
     plan: ["claim 0"],
   },
   {
     name: "alone it takes all",
-    shares: [],
+    shards: [],
     members: [holder("a")],
     plan: ["claim 0", "claim 1", "claim 2"],
   },
   {
-    name: "a dead holder's share goes to the least loaded",
-    shares: [
+    name: "a dead holder's shard goes to the least loaded",
+    shards: [
       [0, holder("a")],
       [1, holder("b")],
       [2, holder("c")],
@@ -55,7 +59,7 @@
   },
   {
     name: "its own from an earlier start is taken back at once",
-    shares: [
+    shards: [
       [0, holder("a", "a-0")],
       [1, holder("b")],
       [2, holder("c")],
@@ -65,7 +69,7 @@
   },
   {
     name: "another's earlier start is that one's to take back",
-    shares: [
+    shards: [
       [0, holder("a")],
       [1, holder("b", "b-0")],
       [2, holder("c")],
@@ -74,8 +78,8 @@
     plan: [],
   },
   {
-    name: "a steady member without a share is given one",
-    shares: [
+    name: "a steady member without a shard is given one",
+    shards: [
       [0, holder("a")],
       [1, holder("a")],
       [2, holder("b")],
@@ -86,7 +90,7 @@
   },
   {
     name: "one that has only just come is not",
-    shares: [
+    shards: [
       [0, holder("a")],
       [1, holder("a")],
       [2, holder("b")],
@@ -96,8 +100,8 @@
     plan: [],
   },
   {
-    name: "nor is any while a share is without a holder",
-    shares: [
+    name: "nor is any while a shard is without a holder",
+    shards: [
       [0, holder("a")],
       [1, holder("a")],
     ],
@@ -107,18 +111,18 @@
   },
 ];
 
-test("who takes and hands over which share", () => {
-  for (const c of shareCases) {
-    const plan = planShares({
+test("who takes and hands over which shard", () => {
+  for (const c of shardCases) {
+    const plan = planShards({
       me: holder("a"),
       size: 3,
-      shares: new Map(c.shares.map(([n, h]) => [shareNo(n), h])),
+      shards: new Map(c.shards.map(([n, h]) => [shardId(n), h])),
       members: new Map(c.members.map((m) => [m.label, m])),
       steady: new Set((c.steady ?? []).map(controllerLabel)),
     });
     assert.deepEqual(
       plan.map((a) =>
-        a.kind === "claim" ? `claim ${a.share}` : `hand_over ${a.share} ${a.to.label}`,
+        a.kind === "claim" ? `claim ${a.shard}` : `hand_over ${a.shard} ${a.to.label}`,
       ),
       c.plan,
       c.name,
@@ -126,13 +130,13 @@
   }
 });
 
-test("teams spread evenly over the shares, and a known team never changes its own", () => {
+test("teams spread evenly over the shards, and a known team never changes its own", () => {
   const names = Array.from({ length: 10 }, (_, i) => teamName(`team-0${i}`));
   const first = assignTeams(new Map(), names, 3);
   const load = [0, 1, 2].map((n) => [...first.values()].filter((s) => s === n).length);
   assert.deepEqual(load, [4, 3, 3]);
   const next = assignTeams(first, [teamName("aaa"), ...names.slice(3)], 3);
-  for (const [name, share] of first) assert.equal(next.get(name), share);
+  for (const [name, shard] of first) assert.equal(next.get(name), shard);
   assert.equal(next.get(teamName("aaa")), 1);
 });
 
@@ -191,7 +195,7 @@
     evidence({ unansweredAt: 9000, unserved: 2 }),
     "outage",
   ],
-  // A controller that came back from a cut answered reports for shares that others had taken.
+  // A controller that came back from a cut answered reports for shards that others had taken.
   ["back from a cut, what is held must be shown first", was("alone", 1), evidence({}), "waking"],
   ["over once that is shown", was("waking", 1, 6000), evidence({ confirmedAt: 7000 }), "served"],
   [
@@ -217,31 +221,31 @@
   ["waking and cut off", was("waking", 6000, 6000), evidence({ unansweredAt: 9000 }), "alone"],
 ];
 
-const ways: readonly [string, Partial<WayView>, Way][] = [
-  ["some are heard", { quietMs: 300 }, "open"],
-  ["none of two hundred for a second: the way is in doubt, not they", { quietMs: 1000 }, "doubted"],
+const ways: readonly [string, Partial<ConnectivityView>, Connectivity][] = [
+  ["some are heard", { quietMs: 300 }, "connected"],
+  ["none of two hundred for a second: the way is in doubt, not they", { quietMs: 1000 }, "suspect"],
   // Cut from its workers, a controller returned 87 machines one by one before it noticed.
-  ["none for longer", { quietMs: 4000 }, "blind"],
-  ["none of a few for a second is chance", { known: 8, quietMs: 1000 }, "open"],
-  ["none of a few for half of what makes one silent", { known: 8, quietMs: 3300 }, "doubted"],
-  ["too few to tell", { known: 3, quietMs: 20_000 }, "open"],
-  ["heard, but hardly any call is answered", { mute: true, quietMs: 100 }, "blind"],
-  ["for so long that no lease can have lasted", { quietMs: 60_000 }, "given_up"],
+  ["none for longer", { quietMs: 4000 }, "disconnected"],
+  ["none of a few for a second is chance", { known: 8, quietMs: 1000 }, "connected"],
+  ["none of a few for half of what makes one silent", { known: 8, quietMs: 3300 }, "suspect"],
+  ["too few to tell", { known: 3, quietMs: 20_000 }, "connected"],
+  ["heard, but hardly any call is answered", { mute: true, quietMs: 100 }, "disconnected"],
+  ["for so long that no lease can have lasted", { quietMs: 60_000 }, "abandoned"],
 ];
 
 test("hearing nothing: the machines, or the way to them", () => {
   const base = { known: 200, quietMs: 0, mute: false };
   const times = { reportMs: 5000, silenceMs: 6500, leaseMs: 29_000 };
   for (const [name, v, want] of ways)
-    assert.equal(judgeWay({ ...base, ...times, ...v }), want, name);
+    assert.equal(judgeConnectivity({ ...base, ...times, ...v }), want, name);
 });
 
 test("a pause is a gap between two looks, however often others look", () => {
-  const awake = new Awake(at(0), 2000);
-  assert.equal(awake.look(at(1900)), 0);
-  assert.equal(awake.look(at(3800)), 0);
-  assert.equal(awake.look(at(31_000)), 27_200);
-  assert.equal(awake.look(at(31_001)), 0);
+  const pauses = new PauseDetector(at(0), 2000);
+  assert.equal(pauses.detect(at(1900)), 0);
+  assert.equal(pauses.detect(at(3800)), 0);
+  assert.equal(pauses.detect(at(31_000)), 27_200);
+  assert.equal(pauses.detect(at(31_001)), 0);
 });
 
 test("an outage, and a trouble of one's own", () => {
@@ -251,7 +255,7 @@
 
 test("pages are split before they pass a value, and what does not fit waits", () => {
   const limits = { txnOps: 16, valueKb: 8, size: 3 };
-  const share = shareNo(0);
+  const shard = shardId(0);
   const r = new Replica();
   r.apply({ kind: "put", key: "now/share/0", value: { l: "a", i: "1" }, rev: revision(1) });
   const open = (n: number) =>
@@ -264,7 +268,7 @@
   let written = 0;
   // 40 jobs of 100 open attempts: more than one transaction may carry.
   for (let i = 0; i < 40; i++)
-    if (batch.putJob(share, jobId(`wk-${i}`), { done: [], open: open(100), nextAttempt: 101 }))
+    if (batch.putJob(shard, jobId(`wk-${i}`), { done: [], open: open(100), nextAttempt: 101 }))
       written++;
   const t = batch.txn();
   assert.ok(written > 5 && written < 40, `${written} written`);
@@ -279,15 +283,15 @@
         r.apply({ kind: "put", key: op.key, value: op.value, rev: revision(rev) });
   };
   put(t.ops, 2);
-  assert.equal(r.work(share).openOn(machineId("m-000003")).size, written);
+  assert.equal(r.work(shard).openOn(machineId("m-000003")).size, written);
   const first = jobId("wk-0");
-  const from = r.work(share).pageOf(first);
+  const from = r.work(shard).pageOf(first);
   const grown = new Batch(r, limits);
-  assert.ok(grown.putJob(share, first, { done: [], open: open(270), nextAttempt: 271 }));
+  assert.ok(grown.putJob(shard, first, { done: [], open: open(270), nextAttempt: 271 }));
   put(grown.txn().ops, 3);
-  assert.notEqual(r.work(share).pageOf(first), from);
-  assert.equal(r.work(share).openOn(machineId("m-000003")).size, written);
-  assert.equal(r.work(share).openOn(machineId("m-000269")).size, 1);
+  assert.notEqual(r.work(shard).pageOf(first), from);
+  assert.equal(r.work(shard).openOn(machineId("m-000003")).size, written);
+  assert.equal(r.work(shard).openOn(machineId("m-000269")).size, 1);
 });
 
 test("a machine that moves to another page stands in one only, in whatever order they come", () => {
@@ -301,7 +305,7 @@
     const r = new Replica();
     r.apply({ kind: "put", key: "now/fleet/0/x", value: { ...m, m: [row] }, rev: revision(7) });
     for (const c of order) r.apply(c);
-    assert.equal(r.machines.get(machineId("m-1"))?.share, 1);
+    assert.equal(r.machines.get(machineId("m-1"))?.shard, 1);
     assert.equal(r.fleetPageOf(machineId("m-1")), "now/fleet/1/y");
   }
 });
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -2,7 +2,7 @@
 import test from "node:test";
 import type { Objective } from "../src/cli/settings.js";
 import type { MachineType } from "../src/protocol/cloud.js";
-import { jobId, machineId, shareNo, teamName, wall } from "../src/protocol/ids.js";
+import { jobId, machineId, shardId, teamName, wall } from "../src/protocol/ids.js";
 import type { Rank } from "../src/protocol/jobs.js";
 import { demandBound, demandOf } from "../src/scheduling/demand.js";
 import {
@@ -37,9 +37,9 @@
 const SMALL = type("small", 8, 0.36, 0.15);
 const LARGE = type("large", 16, 0.8, 0.32);
 
-const machine = (id: string, share: number, over: Partial<FleetMachine> = {}): FleetMachine => ({
+const machine = (id: string, shard: number, over: Partial<FleetMachine> = {}): FleetMachine => ({
   id: machineId(id),
-  share: shareNo(share),
+  shard: shardId(shard),
   type: SMALL,
   zone: "a",
   spot: true,
@@ -51,7 +51,7 @@
   heldS: 100,
   ...over,
 });
-const group = (share: number, wanted: number, over: Partial<DemandGroup> = {}): DemandGroup => ({
+const group = (shard: number, wanted: number, over: Partial<DemandGroup> = {}): DemandGroup => ({
   needs: { cpus: 4, gpus: 0, ramGb: 14 },
   types: null,
   zone: null,
@@ -60,17 +60,17 @@
   urgent: false,
   wanted,
   needed: wanted,
-  waiting: new Map([[shareNo(share), wanted]]),
+  waiting: new Map([[shardId(shard), wanted]]),
   ...over,
 });
 
 /** A machine with tasks of 4 processors, each given as rank and loss. */
 const busy = (
   id: string,
-  share: number,
+  shard: number,
   ...tasks: readonly (readonly [number, number])[]
 ): FleetMachine =>
-  machine(id, share, {
+  machine(id, shard, {
     open: tasks.length,
     use: { cpus: 4 * tasks.length, gpus: 0, ramGb: 14 * tasks.length },
     tasks: tasks.map(([rank, lossS]) => ({
@@ -122,19 +122,19 @@
     want: {},
   },
   {
-    name: "another share's idle machine is moved instead of renting",
+    name: "another shard's idle machine is moved instead of renting",
     machines: [machine("m", 1)],
     demand: [group(0, 2)],
     want: { moves: ["m>0"] },
   },
   {
-    name: "a busy one is not, nor one that its own share's tasks wait for",
+    name: "a busy one is not, nor one that its own shard's tasks wait for",
     machines: [machine("m", 1, { open: 1, use: { cpus: 4, gpus: 0, ramGb: 14 } }), machine("n", 1)],
     demand: [group(1, 3), group(0, 1)],
     want: { rents: ["small b spot 1 >0"] },
   },
   {
-    name: "a forecast of its own share keeps no idle machine from tasks that wait elsewhere",
+    name: "a forecast of its own shard keeps no idle machine from tasks that wait elsewhere",
     machines: [machine("m", 1)],
     demand: [group(1, 2, { waiting: new Map() }), group(0, 2)],
     want: { rents: ["small b spot 1 >0"], moves: ["m>0"] },
@@ -148,10 +148,10 @@
       busy("p", 2, [2, 1], [1, 0]),
     ],
     demand: [group(0, 2, { wanted: 0, needed: 0, urgent: true })],
-    want: { moves: ["n>0 vacate"] },
+    want: { moves: ["n>0 drain"] },
   },
   {
-    name: "not while its own share has lower rank to preempt",
+    name: "not while its own shard has lower rank to preempt",
     machines: [busy("m", 1, [2, 5]), busy("n", 0, [2, 30], [2, 30])],
     demand: [group(0, 2, { wanted: 0, needed: 0, urgent: true })],
     want: {},
@@ -190,13 +190,13 @@
     assert.deepEqual(
       p.rents.map(
         (r) =>
-          `${r.type} ${r.zone} ${r.spot ? "spot" : "ordinary"} ${r.shares.length} >${r.shares}`,
+          `${r.type} ${r.zone} ${r.spot ? "spot" : "ordinary"} ${r.shards.length} >${r.shards}`,
       ),
       c.want.rents ?? [],
       c.name,
     );
     assert.deepEqual(
-      p.moves.map((m) => `${m.machine}>${m.to}${m.vacate ? " vacate" : ""}`),
+      p.moves.map((m) => `${m.machine}>${m.to}${m.drain ? " drain" : ""}`),
       c.want.moves ?? [],
       c.name,
     );
@@ -368,7 +368,7 @@
   const needed = (cpus: number): number => {
     const d = demandOf({
       jobs: [fast, slow(cpus)],
-      shareOf: new Map([[teamName("t"), shareNo(0)]]),
+      shardOf: new Map([[teamName("t"), shardId(0)]]),
       teams: new Map([
         [teamName("t"), { name: teamName("t"), cpus: 0, gpus: 0, cpusMax: 1e6, gpusMax: 0 }],
       ]),
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -118,7 +118,7 @@
   });
 
 test("tasks longer than a lease end elsewhere than on a machine that can't report", async () => {
-  // With Held.unheard always false 35 starts go to mute machines on this day, each to end with a lease.
+  // With ShardState.heartbeatOverdue always false 35 starts go to mute machines on this day, each to end with a lease.
   const w = new World(82, { ...calm, mutedLong: true }, { ...LONG, machines: 12 });
   await w.day(10);
   assert.deepEqual(w.broken, []);
@@ -164,11 +164,11 @@
   ["gone is gone, however late", { gone: true, ageMs: 60_000 }, "rest"],
   ["at first it is told to stop", {}, "stop"],
   ["then its machine is to be returned", { ageMs: 19_000 }, "retire"],
-  ["at once where nothing can be written", { ageMs: 19_000, failing: true }, "take_away"],
-  ["a leader that doesn't get to it is not waited for", { ageMs: 31_000 }, "take_away"],
+  ["at once where nothing can be written", { ageMs: 19_000, failing: true }, "force_return"],
+  ["a leader that doesn't get to it is not waited for", { ageMs: 31_000 }, "force_return"],
   ["one taken over just now may show itself", { ageMs: 31_000, unshownMs: 500 }, "stop"],
-  ["not for long", { ageMs: 31_000, unshownMs: 5000 }, "take_away"],
-  ["and not when time runs out", { ageMs: 42_000, unshownMs: 500 }, "take_away"],
+  ["not for long", { ageMs: 31_000, unshownMs: 5000 }, "force_return"],
+  ["and not when time runs out", { ageMs: 42_000, unshownMs: 500 }, "force_return"],
   ["what is past its time already isn't hurried", { ageMs: 90_000, unshownMs: 500 }, "stop"],
 ];
 test("what an open attempt of a cancelled job calls for", () => {
--- /dev/null
+++ b/test/round-cost.test.ts
@@ -0,0 +1,173 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { defaultOperators } from "../src/cli/operators.js";
+import { Batch } from "../src/coordination/batch.js";
+import { closeAttempts, type ShardRound } from "../src/coordination/closing.js";
+import type { Context } from "../src/coordination/context.js";
+import type { Membership } from "../src/coordination/membership.js";
+import { PlacementRound } from "../src/coordination/placement-round.js";
+import { ShardState } from "../src/coordination/shard-state.js";
+import {
+  attemptNo,
+  jobId,
+  machineId,
+  mono,
+  type Revision,
+  revision,
+  shardId,
+  teamName,
+  wall,
+} from "../src/protocol/ids.js";
+import type { JobSpec } from "../src/protocol/jobs.js";
+import { fleetPageValue, workPageValue } from "../src/storage/pages.js";
+import { keys, type Progress, teamsValue, typesValue } from "../src/storage/records.js";
+import { Replica } from "../src/storage/replica.js";
+import { SimClock } from "./sim/clock.js";
+
+/**
+ * A round costs what waits and what changed. Steps are counted, not time: reads of what jobs ask
+ * for, in a round over a shard with many live jobs whose tasks all run.
+ */
+const SHARD = shardId(0);
+const TEAM = teamName("t");
+const MACHINES = 6;
+const WAITING = 3;
+const TYPE = {
+  name: "small",
+  capacity: { cpus: 8, gpus: 0, ramGb: 32 },
+  cacheGb: 10,
+  fetchGbPerS: 1,
+  price: 1,
+  spotPrice: 0.5,
+  bootS: 10,
+  zones: ["a"],
+};
+const LIMITS = { rps: 100, writeRps: 100, txnOps: 40, valueKb: 64, size: 1 };
+
+const specOf = (id: string): JobSpec => ({
+  id: jobId(id),
+  jobClass: "c",
+  team: TEAM,
+  rank: "normal",
+  tasks: 1,
+  needs: { cpus: 1, gpus: 0, ramGb: 1 },
+  image: "i",
+  imageGb: 0,
+  types: null,
+  zone: null,
+  oneZone: false,
+  apart: false,
+  spotAllowed: true,
+  expectS: 1,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+});
+
+class Setup {
+  steps = 0;
+  readonly replica = new Replica();
+  readonly state: ShardState;
+  #rev = 0;
+
+  constructor(running: number) {
+    new SimClock(1);
+    const settings = { state: LIMITS, size: 1, objectives: [], workers: { leaseS: 20 } };
+    const team = { name: TEAM, cpus: 4, gpus: 0, cpusMax: 10_000, gpusMax: 0 };
+    const ctx = {
+      replica: this.replica,
+      settings,
+      teams: new Map([[TEAM, team]]),
+      operators: defaultOperators(),
+      store: { failing: () => false },
+      log: { enabled: () => false, info: () => undefined, debug: () => undefined },
+      metrics: { record: () => undefined },
+    } as unknown as Context;
+    const membership = { ownedShards: () => [SHARD] } as unknown as Membership;
+    this.state = new ShardState(ctx, membership, () => undefined);
+    this.#put(keys.types, typesValue([TYPE]));
+    this.#put(keys.teams, teamsValue(new Map([[TEAM, SHARD]])));
+    this.#machines();
+    this.#jobs(running);
+  }
+
+  #put(key: string, value: unknown): Revision {
+    const rev = revision(++this.#rev);
+    this.replica.apply({ kind: "put", key, value, rev });
+    this.replica.advance(rev);
+    return rev;
+  }
+
+  #machines(): void {
+    const row = { shard: SHARD, type: TYPE.name, zone: "a", spot: true, endpoint: "m:1" } as const;
+    const record = { ...row, stage: "up", rentedAt: wall(0), floor: revision(1) } as const;
+    const ids = Array.from({ length: MACHINES }, (_, i) => machineId(`m-${i}`));
+    this.#put(keys.fleet(SHARD, "1"), fleetPageValue(ids.map((id) => [id, record])));
+    this.state.sync(mono(0));
+    for (const machine of ids) {
+      const empty = { session: 1, seq: 1, token: 9 as never, noticeS: null, tasks: [] };
+      const report = { machine, endpoint: "m:1", type: TYPE.name, zone: "a", spot: true, ...empty };
+      this.state.step(machine, { kind: "report", report, via: "heartbeat", now: mono(0) });
+    }
+  }
+
+  #jobs(running: number): void {
+    const page = new Map<ReturnType<typeof jobId>, Progress>();
+    for (let i = 0; i < running + WAITING; i++) {
+      const id = jobId(`wk-${i}`);
+      const spec = this.#counted(specOf(id));
+      const job = { spec, acceptedAt: wall(i), cancelledAt: null };
+      this.replica.accepted.set(id, { value: job, rev: revision(1) });
+      // Those that run do so on a machine that no session is about.
+      const open = [{ index: 0, attempt: attemptNo(1), machine: machineId("m-99") }];
+      if (i < running) page.set(id, { done: [], open, nextAttempt: 2 });
+      this.replica.work(SHARD).jobChanged(id);
+    }
+    this.#put(keys.work(SHARD, 0), workPageValue(page));
+    this.replica.work(SHARD).jobs.size;
+    this.steps = 0;
+  }
+
+  #counted(spec: JobSpec): JobSpec {
+    return new Proxy(spec, {
+      get: (target, name) => {
+        this.steps++;
+        return target[name as keyof JobSpec];
+      },
+    });
+  }
+
+  /** Steps and starts of one round. */
+  round(): { readonly steps: number; readonly starts: number } {
+    const batch = new Batch(this.replica, LIMITS);
+    const round: ShardRound = {
+      shard: SHARD,
+      batch,
+      now: mono(0),
+      call: new Set(),
+      closedKeys: [],
+      drafts: new Map(),
+      closed: new Map(),
+    };
+    closeAttempts(this.state, round, this.state.sessions.keys());
+    if (PlacementRound.needed(this.state, round))
+      new PlacementRound(this.state, round, new Set()).run();
+    return { steps: this.steps, starts: this.state.counters.starts };
+  }
+
+  /** What a pass over all live jobs takes. */
+  fullPass(): number {
+    for (const job of this.replica.work(SHARD).jobs.values()) void job.spec.needs;
+    return this.steps;
+  }
+}
+
+test("a round's steps don't grow with the live jobs that wait for nothing", () => {
+  const few = new Setup(50).round();
+  const many = new Setup(500).round();
+  assert.equal(few.starts, WAITING);
+  assert.equal(many.starts, WAITING);
+  assert.ok(few.steps > 0 && many.steps <= few.steps * 1.2, `${few.steps} and ${many.steps}`);
+  // The count does notice a pass over all of them.
+  assert.ok(new Setup(500).fullPass() > 5 * new Setup(50).fullPass());
+});
--- a/test/session.test.ts
+++ b/test/session.test.ts
@@ -41,7 +41,7 @@
   })),
 });
 
-const hear = (r: Report, via: "beat" | "direct" = "beat"): SessionEvent => ({
+const hear = (r: Report, via: "heartbeat" | "direct" = "heartbeat"): SessionEvent => ({
   kind: "report",
   report: r,
   via,
@@ -71,7 +71,7 @@
   },
   {
     name: "a start in a beat's answer is on its way until the next beat",
-    events: [hear(report(1, 1, 10)), { kind: "answered_beat", starts: [KEY] }],
+    events: [hear(report(1, 1, 10)), { kind: "answered_heartbeat", starts: [KEY] }],
     state: "ready",
     found: "unsettled",
   },
@@ -79,7 +79,7 @@
     name: "a direct report in between settles no beat's answer",
     events: [
       hear(report(1, 1, 10)),
-      { kind: "answered_beat", starts: [KEY] },
+      { kind: "answered_heartbeat", starts: [KEY] },
       hear(report(1, 2, 10), "direct"),
     ],
     state: "ready",
@@ -89,14 +89,14 @@
     name: "the next beat without it settles it",
     events: [
       hear(report(1, 1, 10)),
-      { kind: "answered_beat", starts: [KEY] },
+      { kind: "answered_heartbeat", starts: [KEY] },
       hear(report(1, 2, 10)),
     ],
     state: "ready",
     found: "absent",
   },
   {
-    name: "a lost direct start stays open whatever later beats say",
+    name: "a lost direct start stays open whatever later heartbeats say",
     events: [
       hear(report(1, 1, 10)),
       { kind: "direct_sent", starts: [KEY] },
--- a/test/held.test.ts
+++ b/test/shard-state.test.ts
@@ -1,20 +1,20 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { Held } from "../src/coordination/held.js";
+import type { Context } from "../src/coordination/context.js";
 import type { Membership } from "../src/coordination/membership.js";
-import { machineId, mono, revision, shareNo, wall } from "../src/protocol/ids.js";
-import type { Context } from "../src/service/context.js";
+import { ShardState } from "../src/coordination/shard-state.js";
+import { machineId, mono, revision, shardId, wall } from "../src/protocol/ids.js";
 import { fleetPageValue } from "../src/storage/pages.js";
 import { keys } from "../src/storage/records.js";
 import { Replica } from "../src/storage/replica.js";
 
 const ID = machineId("m-000001");
-const page = (name: string): string => keys.fleet(shareNo(0), name);
+const page = (name: string): string => keys.fleet(shardId(0), name);
 const machines = fleetPageValue([
   [
     ID,
     {
-      share: shareNo(0),
+      shard: shardId(0),
       type: "small",
       zone: "a",
       spot: false,
@@ -28,9 +28,9 @@
 
 const setUp = () => {
   const replica = new Replica();
-  const membership = { heldShares: () => [shareNo(0)] } as unknown as Membership;
+  const membership = { ownedShards: () => [shardId(0)] } as unknown as Membership;
   const ctx = { replica, settings: { workers: { leaseS: 20 } } } as unknown as Context;
-  const held = new Held(ctx, membership, () => undefined);
+  const held = new ShardState(ctx, membership, () => undefined);
   replica.apply({ kind: "put", key: page("x"), value: machines, rev: revision(10) });
   replica.advance(revision(10));
   held.sync(mono(0));
@@ -72,6 +72,6 @@
   for (const [name, at, now, mute] of unheard) {
     const { held } = setUp();
     held.note(ID).reportedAt = at === null ? null : mono(at);
-    assert.equal(held.unheard(ID, mono(now)), mute, name);
+    assert.equal(held.heartbeatOverdue(ID, mono(now)), mute, name);
   }
 });
--- a/test/sim/fakes/state-store.ts
+++ b/test/sim/fakes/state-store.ts
@@ -21,7 +21,7 @@
   /** Puts and deletes asked for, for counting what the service writes. */
   writes = 0;
   /** A sabotaged service applies transactions whatever their conditions. */
-  heedsConditions = true;
+  checksConditions = true;
   /** Requests a second that are carried out, with bursts of one second's worth; the rest get 429. */
   rps = Number.POSITIVE_INFINITY;
   #requests: { tokens: number; at: number } = { tokens: 0, at: 0 };
@@ -140,7 +140,7 @@
     const conds = body.if as { path: string; mark: number }[];
     const failed = conds.filter((c) => (this.keys.get(c.path)?.mark ?? 0) !== c.mark);
     this.writes += (body.apply as unknown[] | undefined)?.length ?? 0;
-    if (failed.length > 0 && this.heedsConditions)
+    if (failed.length > 0 && this.checksConditions)
       return { status: 409, body: { failed: failed.map((c) => c.path), ledger: this.rev } };
     if (body.apply === undefined) return { status: 200, body: { ledger: this.rev } };
     const ops = body.apply as { write?: string; v?: unknown; drop?: string; tenure?: number }[];
--- a/test/sim/fakes/worker.ts
+++ b/test/sim/fakes/worker.ts
@@ -17,7 +17,7 @@
   /** Whether this start of a task ends with an error. */
   readonly fails: (task: string) => boolean;
   /** Sends a report to a controller; undefined if no answer came. */
-  readonly beat: (node: string, report: Body) => Promise<Out | undefined>;
+  readonly heartbeat: (node: string, report: Body) => Promise<Out | undefined>;
 }
 
 /** One worker: tokens, sessions, its lease, and the commands. */
@@ -32,7 +32,7 @@
   /** How long an image takes to come, from and to. */
   fetchMs: readonly [number, number] = [200, 1500];
   /** A sabotaged worker executes commands whatever their token and session. */
-  heedsTokens = true;
+  checksTokens = true;
   session = 1;
   seq = 0;
   token = 0;
@@ -50,7 +50,7 @@
   ) {
     this.#renewed = clock.now;
     this.#node = Math.floor(clock.random() * nodes.length);
-    void this.#beats();
+    void this.#heartbeats();
     void this.#watchLease();
   }
 
@@ -96,7 +96,7 @@
     };
   }
 
-  async #beats(): Promise<void> {
+  async #heartbeats(): Promise<void> {
     while (this.alive) {
       const next = this.clock.now + this.clock.between(2250, 3750);
       await this.clock.sleep(500);
@@ -106,7 +106,7 @@
       this.#changed = false;
       const sent = this.clock.now;
       const session = this.session;
-      const r = await this.hooks.beat(this.nodes[this.#node] as string, this.report());
+      const r = await this.hooks.heartbeat(this.nodes[this.#node] as string, this.report());
       if (!this.alive || this.hangs) continue;
       if (this.deaf) {
         this.#node = (this.#node + 1) % this.nodes.length;
@@ -175,7 +175,7 @@
     if (path === "/status") return { status: 200, body: this.report() };
     const token = Number(body?.baton);
     const stale = token < this.token || Number(body?.shift) !== this.session;
-    if (stale && this.heedsTokens) return { status: 409, body: this.report() };
+    if (stale && this.checksTokens) return { status: 409, body: this.report() };
     if (token > this.token) this.#changed = true;
     this.token = token;
     this.#execute(body?.orders as Body[]);
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -1,8 +1,9 @@
 import { defaultOperators } from "../../src/cli/operators.js";
+import { makeLogger } from "../../src/observability/log.js";
 import { decode, encode } from "../../src/protocol/cbor.js";
 import { incarnation } from "../../src/protocol/ids.js";
-import { makeLogger } from "../../src/service/log.js";
-import { makeNode, type Node, type Pass } from "../../src/service/node.js";
+import { makeNode, type Node } from "../../src/service/node.js";
+import type { PeriodicTask } from "../../src/service/periodic-task.js";
 import type { Calls, Reply } from "../../src/transport/client.js";
 import type { Answer } from "../../src/transport/server.js";
 import { SimClock } from "./clock.js";
@@ -117,7 +118,7 @@
   /** Machines that the service returned though they lived. */
   returnedAlive = 0;
   /** Calls of the whole day by kind, for bounding work by counts. */
-  readonly calls = { state: 0, workers: 0, beats: 0 };
+  readonly calls = { state: 0, workers: 0, heartbeats: 0 };
 
   constructor(
     seed: number,
@@ -128,7 +129,7 @@
     this.#labels = Array.from({ length: scale.nodes }, (_, i) => `n-${i}`);
     this.clock = new SimClock(seed);
     this.#state = new FakeStateStore(this.clock);
-    this.#state.heedsConditions = sabotage !== "conditions";
+    this.#state.checksConditions = sabotage !== "conditions";
     this.#state.onChange = (key) => this.#stateChanged(key);
     this.#cloud = new FakeCloud(
       MACHINE_TYPES,
@@ -138,7 +139,7 @@
           if (!this.#cloud.up.has(m.id)) return;
           const w = new FakeWorker(this.clock, m, this.#labels, LEASE_MS, this.#hooks());
           if (trouble.slowLinks === true) w.fetchMs = [4000, 28_000];
-          w.heedsTokens = sabotage !== "tokens";
+          w.checksTokens = sabotage !== "tokens";
           this.#workers.set(m.id, w);
         }),
       (id) => {
@@ -207,8 +208,8 @@
             ? this.clock.between(1.4 * LEASE_MS, 2 * LEASE_MS)
             : this.clock.between(3000, 20_000),
       fails: (task: string) => this.#fails(task),
-      beat: (node: string, report: Body) => {
-        this.calls.beats++;
+      heartbeat: (node: string, report: Body) => {
+        this.calls.heartbeats++;
         if (this.trouble.lateCopies === true && this.clock.random() < 0.1)
           this.clock.after(this.clock.between(2000, 4 * LEASE_MS), () => {
             void this.#toNode(this.#anyNode(), "POST", "/agent/beat", report);
@@ -313,7 +314,7 @@
   }
 
   /** One kind of way out of a node; a dead node's calls never come back to it. */
-  #way(
+  #connection(
     n: number,
     isAlive: () => boolean,
     run: (
@@ -351,8 +352,8 @@
     this.#cloud.returns = this.sabotage !== "returns";
     const self = { alive: true };
     const isAlive = (): boolean => self.alive;
-    const ways = {
-      state: this.#way(n, isAlive, (_a, method, path, body) => {
+    const connections = {
+      state: this.#connection(n, isAlive, (_a, method, path, body) => {
         if (this.#cut.has(n) || this.#cutTogether) return undefined;
         if (this.#zoneApart && n === 0) return undefined;
         if (this.#refused.has(n)) return { status: 503 };
@@ -370,7 +371,7 @@
           return { status: 404, body: { ledger: this.#state.rev } };
         return this.#state.handle(method, path, body);
       }),
-      cloud: this.#way(n, isAlive, (_a, _m, path, body) => {
+      cloud: this.#connection(n, isAlive, (_a, _m, path, body) => {
         if (this.#cutTogether) return undefined;
         // Nothing can be written in an outage, so any return is a controller's own.
         const own = path === "/machines/return" && this.#state.down;
@@ -378,7 +379,7 @@
         if (path === "/machines/return" && this.sabotage === "late_returns") return { status: 503 };
         return this.#cloud.handle(path, body);
       }),
-      workers: this.#way(n, isAlive, (address, _m, path, body) => {
+      workers: this.#connection(n, isAlive, (address, _m, path, body) => {
         const w = this.#workers.get(address.split(":")[0] as string);
         if (w === undefined || w.hangs || w.deaf || this.#noWorkers.has(n)) return undefined;
         if (this.#behind(n, w)) return undefined;
@@ -388,7 +389,7 @@
           for (const o of (body?.orders ?? []) as Body[]) if (o.verb === "kill") o.verb = "none";
         return w.handle(path, body);
       }),
-      peers: this.#way(n, isAlive, async (address, method, path, body) => {
+      peers: this.#connection(n, isAlive, async (address, method, path, body) => {
         const at = Number(address.split(":")[0]?.split(".")[3]);
         const to = this.#nodes[at];
         if (to === undefined || !to.alive || this.#peersRefuse) return undefined;
@@ -406,13 +407,13 @@
       makeLogger("error", { node: this.#labels[n] }, (line) => {
         if (this.trouble.lost === 0) this.broken.push(line);
       }),
-      ways,
+      connections,
       incarnation(`inc-${++this.#inc}`),
       () => this.clock.random(),
     );
     const slot = Object.assign(self, { node });
     this.#nodes[n] = slot;
-    const loop = async (p: Pass): Promise<void> => {
+    const loop = async (p: PeriodicTask): Promise<void> => {
       while (self.alive) {
         await this.#thawed(n);
         if (!self.alive) return;
@@ -420,7 +421,7 @@
         await this.clock.sleep(Math.max(1, p.everyMs));
       }
     };
-    for (const p of node.passes) if (p.name !== "stats") void loop(p);
+    for (const p of node.tasks) if (p.name !== "stats") void loop(p);
   }
 
   /** While all controllers are cut off together, only the workers of zone a are with them. */
--- a/test/work-index.test.ts
+++ b/test/work-index.test.ts
@@ -18,13 +18,14 @@
 import { fits, fitsBeside, lesser, minus, plus } from "../src/scheduling/resources.js";
 import { pheromone } from "../src/scheduling/swarm.js";
 import { workPageValue } from "../src/storage/pages.js";
+import { rangesCount } from "../src/storage/ranges.js";
 import {
   type Accepted,
   type LiveJob,
   type Progress,
   waitingCount,
 } from "../src/storage/records.js";
-import { ShareWork } from "../src/storage/work.js";
+import { ShardJobs } from "../src/storage/shard-jobs.js";
 
 /** Indexes and searches that stand for passes over everything must decide as those passes do. */
 const TEAMS = [
@@ -84,6 +85,9 @@
   return {
     waiting: [...jobs].filter(([, j]) => waitingCount(j) > 0).map(([id]) => id),
     cancelled: [...jobs].filter(([, j]) => j.cancelledAt !== null).map(([id]) => id),
+    complete: [...jobs]
+      .filter(([, j]) => j.cancelledAt === null && rangesCount(j.done) === j.spec.tasks)
+      .map(([id]) => id),
     needs: [...new Set([...jobs.values()].map((j) => j.spec.needs.cpus))],
     within,
     use: [...use],
@@ -94,7 +98,7 @@
   for (let seed = 1; seed <= 8; seed++) {
     const d = dice(seed);
     const accepted = new Map<string, Accepted>();
-    const work = new ShareWork((id) => accepted.get(id));
+    const work = new ShardJobs((id) => accepted.get(id));
     const pages = [new Map<ReturnType<typeof jobId>, Progress>(), new Map()];
     for (let step = 1; step <= 250; step++) {
       const id = jobId(`wk-${d.below(25)}`);
@@ -115,7 +119,8 @@
           attempt: attemptNo(step),
           machine: machineId(`m-${d.below(4)}`),
         }));
-        page.set(id, { done: [], open, nextAttempt: step });
+        const done = open.length === 0 && d.unit() < 0.5 ? [0, known.spec.tasks - 1] : [];
+        page.set(id, { done, open, nextAttempt: step });
       }
       work.jobChanged(id);
       for (const [n, p] of pages.entries())
@@ -125,6 +130,7 @@
       const got = {
         waiting: [...index.waiting.keys()],
         cancelled: [...index.cancelled.keys()],
+        complete: [...index.complete.keys()],
         needs: [...index.needs()].map((n) => n.cpus),
         within: [...index.withinGuarantee(TEAMS)],
         use: [...index.openUse()].map(([team, r]) => [team, r.cpus] as const),
