--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -30,7 +30,7 @@
   readonly statsPeriodS: number;
 }
 
-export interface Knob {
+export interface OperatorSetting {
   readonly section: string;
   readonly name: string;
   readonly key: keyof Operators;
@@ -46,9 +46,9 @@
   least: number,
   most: number,
   fallback: number,
-): Knob => ({ section, name, key, least, most, fallback });
+): OperatorSetting => ({ section, name, key, least, most, fallback });
 
-export const KNOBS: readonly Knob[] = [
+export const OPERATOR_SETTINGS: readonly OperatorSetting[] = [
   setting("membership", "lease_ms", "memberLeaseMs", 500, 600_000, 4000),
   setting("membership", "hand_back_s", "handBackS", 0, 86_400, 6),
   setting("state", "watch_pause_ms", "watchPauseMs", 0, 10_000, 100),
@@ -77,12 +77,12 @@
 ];
 
 export const defaultOperators = (): Operators =>
-  Object.fromEntries(KNOBS.map((k) => [k.key, k.fallback])) as unknown as Operators;
+  Object.fromEntries(OPERATOR_SETTINGS.map((k) => [k.key, k.fallback])) as unknown as Operators;
 
 /** `raw` is the HCL file as a map: blocks arrive as lists of one map. */
 export const checkOperators = (raw: Readonly<Record<string, unknown>>): Checked<Operators> => {
   const faults: string[] = [];
-  const sections = [...new Set(KNOBS.map((k) => k.section))];
+  const sections = [...new Set(OPERATOR_SETTINGS.map((k) => k.section))];
   new Reader(raw, "", faults).only(sections);
   const out: Record<string, number> = {};
   for (const section of sections) {
@@ -94,7 +94,7 @@
       section,
       faults,
     );
-    const knobs = KNOBS.filter((k) => k.section === section);
+    const knobs = OPERATOR_SETTINGS.filter((k) => k.section === section);
     reader.only(knobs.map((k) => k.name));
     for (const k of knobs) out[k.key] = reader.number(k.name, k.least, k.most, k.fallback);
   }
--- a/src/coordination/cancels.ts
+++ b/src/coordination/cancels.ts
@@ -133,7 +133,7 @@
     const { settings, replica, me } = this.ctx;
     const until = steadyNow() + CONFIRM_MS;
     this.heard([notice]);
-    // All are told, so that whoever is left looks after it; the owner's word is what counts.
+    // All are told, so that whoever is left looks after it; the owner's acknowledgment is what counts.
     const acks = new Map(
       settings.seeds.map((s) => [s.label, this.#tell(s.label, notice)] as const),
     );
@@ -162,7 +162,7 @@
     this.#told.add(id);
   }
 
-  // ---- Word between controllers -------------------------------------------------------------
+  // ---- Notices between controllers -----------------------------------------------------------
 
   /** True once the other controller has acknowledged it; false if it didn't in a short time. */
   #tell(to: ControllerLabel, notice: CancelNotice): Promise<boolean> {
@@ -199,8 +199,8 @@
   }
 
   /**
-   * Takes word of cancellations in as if the watch had told of them, and stops their tasks at once:
-   * that needs no write. Word of a job that is not known changes nothing: nothing of it can have
+   * Takes notices of cancellations in as if the watch had told of them, and stops their tasks at once:
+   * that needs no write. A notice of a job that is not known changes nothing: nothing of it can have
    * been started from here, and what starts it later must name its record's revision.
    */
   heard(notices: readonly CancelNotice[]): void {
@@ -225,7 +225,7 @@
 
   // ---- Until nothing is left ----------------------------------------------------------------
 
-  /** One look at all cancelled jobs: stops, and in the end machines, with or without records. */
+  /** Looks after all cancelled jobs: stops, and in the end machines, with or without records. */
   async reconcile(): Promise<void> {
     const { ctx } = this;
     if (!ctx.synced) return;
--- a/src/coordination/closing.ts
+++ b/src/coordination/closing.ts
@@ -79,9 +79,21 @@
   round: ShardRound,
   machines: Iterable<MachineId>,
 ): void => {
-  const { replica } = owned.ctx;
-  const { shard } = round;
-  const work = replica.work(shard);
+  const { index } = owned.ctx.replica.work(round.shard);
+  const byJob = provedGone(owned, round, machines);
+  // Ends that are due: cancelled jobs with nothing open, and completed ones that had to wait.
+  for (const ended of [index.cancelled, index.complete])
+    for (const [id, job] of ended) if (job.open.length === 0 && !byJob.has(id)) byJob.set(id, []);
+  for (const [id, rows] of byJob) closeOfJob(owned, round, id, rows);
+};
+
+/** Attempts on these machines that are proved gone, by job. */
+const provedGone = (
+  owned: ShardState,
+  round: ShardRound,
+  machines: Iterable<MachineId>,
+): Map<JobId, Closing[]> => {
+  const work = owned.ctx.replica.work(round.shard);
   const byJob = new Map<JobId, Closing[]>();
   for (const machine of machines)
     for (const [task, o] of work.openOn(machine)) {
@@ -92,36 +104,50 @@
       if (rows === undefined) byJob.set(o.job, [row]);
       else rows.push(row);
     }
-  // Ends that are due: cancelled jobs with nothing open, and completed ones that had to wait.
-  for (const ended of [work.index.cancelled, work.index.complete])
-    for (const [id, job] of ended) if (job.open.length === 0 && !byJob.has(id)) byJob.set(id, []);
-  for (const [id, rows] of byJob) {
-    const job = work.jobs.get(id);
-    const old: Progress =
-      job ?? work.pages.get(work.pageOf(id) ?? "")?.entries.get(id) ?? NO_PROGRESS;
-    const gone = new Set(rows.map((r) => r.index));
-    let { done } = old;
-    for (const r of rows) if (r.report?.cause === "done") done = rangesAdd(done, r.index);
-    const next: Progress = {
-      done,
-      open: old.open.filter((o) => !gone.has(o.index)),
-      nextAttempt: old.nextAttempt,
-    };
-    if (!write(owned, round, id, job, next, rows.length > 0)) {
-      for (const r of rows) owned.disturbed.add(r.machine);
-      continue;
-    }
-    if (job !== undefined) round.drafts.set(id, { ...job, ...next });
-    for (const r of rows) {
-      owned.closing.add(r.key);
-      round.closedKeys.push(r.key);
-      const on = round.closed.get(r.machine) ?? new Set();
-      on.add(taskId(id, r.index));
-      round.closed.set(r.machine, on);
-      if (r.report === undefined) owned.counters.lost++;
-      else if (job !== undefined) learn(owned, id, job, r, r.report, round.now);
-    }
+  return byJob;
+};
+
+/** Writes the closings of one job; where the batch has no room for them they come up again. */
+const closeOfJob = (
+  owned: ShardState,
+  round: ShardRound,
+  id: JobId,
+  rows: readonly Closing[],
+): void => {
+  const work = owned.ctx.replica.work(round.shard);
+  const job = work.jobs.get(id);
+  const old: Progress =
+    job ?? work.pages.get(work.pageOf(id) ?? "")?.entries.get(id) ?? NO_PROGRESS;
+  const gone = new Set(rows.map((r) => r.index));
+  let { done } = old;
+  for (const r of rows) if (r.report?.cause === "done") done = rangesAdd(done, r.index);
+  const next: Progress = {
+    done,
+    open: old.open.filter((o) => !gone.has(o.index)),
+    nextAttempt: old.nextAttempt,
+  };
+  if (!write(owned, round, id, job, next, rows.length > 0)) {
+    for (const r of rows) owned.disturbed.add(r.machine);
+    return;
   }
+  if (job !== undefined) round.drafts.set(id, { ...job, ...next });
+  for (const r of rows) noteClosed(owned, round, id, job, r);
+};
+
+const noteClosed = (
+  owned: ShardState,
+  round: ShardRound,
+  id: JobId,
+  job: LiveJob | undefined,
+  row: Closing,
+): void => {
+  owned.closing.add(row.key);
+  round.closedKeys.push(row.key);
+  const on = round.closed.get(row.machine) ?? new Set();
+  on.add(taskId(id, row.index));
+  round.closed.set(row.machine, on);
+  if (row.report === undefined) owned.counters.lost++;
+  else if (job !== undefined) learn(owned, id, job, row, row.report, round.now);
 };
 
 const write = (
--- a/src/coordination/connectivity.ts
+++ b/src/coordination/connectivity.ts
@@ -13,7 +13,7 @@
   /** For how long none of them was heard. */
   readonly quietMs: number;
   /** Most of them don't answer our calls, though some may still be heard. */
-  readonly mute: boolean;
+  readonly mostUnreached: boolean;
   readonly reportMs: number;
   readonly silenceMs: number;
   readonly leaseMs: number;
@@ -36,7 +36,7 @@
 /** The one place where the way to the machines is judged; it follows from the view alone. */
 export const judgeConnectivity = (v: ConnectivityView): Connectivity => {
   if (v.known < LEAST) return "connected";
-  if (v.mute) return "disconnected";
+  if (v.mostUnreached) return "disconnected";
   const doubtMs = Math.min(
     v.silenceMs * DOUBT_PART,
     Math.max(LEAST_MS, (EXPECTED * v.reportMs) / v.known),
--- a/src/coordination/fleet/failing-jobs.ts
+++ b/src/coordination/fleet/failing-jobs.ts
@@ -7,12 +7,12 @@
 import { addressOf, type Context } from "../context.js";
 import type { ShardOwner } from "../shard-owner.js";
 
-/** How long an owner's word that a job fails stands. */
+/** How long an owner's notice that a job fails stands. */
 const STANDS_MS = 8000;
 const PEER_MS = 1000;
 
 /**
- * Jobs that fail wherever they are started, by their owners' word to the leader. Such a job wants
+ * Jobs that fail wherever they are started, as their owners tell the leader. Such a job wants
  * room for one task, to see whether it still fails: with a mistake in it it would hold all idle
  * machines for its shard, and pull the fleet up.
  */
--- a/src/coordination/fleet/records.ts
+++ b/src/coordination/fleet/records.ts
@@ -59,7 +59,7 @@
     return this.ctx.replica.machines.has(id) || this.#entering.has(id);
   }
 
-  /** Returned by this controller, or by the word of any leader. */
+  /** Returned by this controller, or by any leader, as the records say. */
   returned(id: MachineId): boolean {
     return this.#returned.has(id) || this.ctx.replica.isGone(id);
   }
--- a/src/coordination/health.ts
+++ b/src/coordination/health.ts
@@ -22,7 +22,7 @@
 
 export const HEALTHY: Health = { standing: "served", since: undefined, wokeAt: undefined };
 
-/** What is known of the state service, by our own calls and by the other controllers' word. */
+/** What is known of the state service, by our own calls and by what the other controllers say. */
 export interface Evidence {
   readonly now: Mono;
   readonly answeredAt: Mono;
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -71,7 +71,7 @@
     await this.#unknown.adopt();
   }
 
-  /** An owner's word that these jobs fail wherever they are started. */
+  /** An owner's notice that these jobs fail wherever they are started. */
   noteFailing(ids: Iterable<JobId>): void {
     this.#failing.note(ids);
   }
--- a/src/coordination/machine-records.ts
+++ b/src/coordination/machine-records.ts
@@ -4,7 +4,7 @@
 import type { FleetPage } from "../storage/replica.js";
 import { pageLimit } from "./batch.js";
 import type { ShardRound } from "./closing.js";
-import { inTheWay, needsBump, worthBump } from "./session.js";
+import { inTheWay, needsBump, type Session, worthBump } from "./session.js";
 import type { ShardState } from "./shard-state.js";
 
 /** What is to become of a machine's record. */
@@ -116,28 +116,44 @@
       return { kind: "put", to: { ...m, stage: "retiring" }, lazyMs: 0 };
     }
     const endpoint = s.report?.endpoint ?? m.endpoint;
-    if (note.move !== null) {
-      const { to, drain } = note.move;
-      // What has exited there the next owner forgets, under its higher token.
-      const idle = [...s.tasks.values()].every((x) => x.stage === "ended");
-      const proved = empty && idle && (s.state === "ready" || s.report === undefined);
-      if (proved || !drain) note.move = null;
-      const floor = this.#above(owned.tokenOf(m));
-      if (proved && to !== m.shard && floor !== undefined)
-        return { kind: "move", to: { ...m, shard: to, endpoint, floor } };
-    }
+    const transfer = note.move === null ? undefined : this.#transfer(id, { ...m, endpoint }, s);
+    const raise = this.#raise(id, { ...m, endpoint }, s, round);
+    if (transfer !== undefined || raise !== undefined) return transfer ?? raise;
+    if (endpoint !== m.endpoint) return { kind: "put", to: { ...m, endpoint }, lazyMs: LAZY_MS };
+    return undefined;
+  }
+
+  /** The move to another shard that the leader asked for, once nothing is left on the machine. */
+  #transfer(id: MachineId, m: MachineRecord, s: Session): Change | undefined {
+    const { owned } = this;
+    const note = owned.note(id);
+    if (note.move === null) return undefined;
+    const { to, drain } = note.move;
+    const empty = owned.ctx.replica.work(m.shard).openOn(id).size === 0;
+    // What has exited there the next owner forgets, under its higher token.
+    const idle = [...s.tasks.values()].every((x) => x.stage === "ended");
+    const proved = empty && idle && (s.state === "ready" || s.report === undefined);
+    if (proved || !drain) note.move = null;
+    const floor = this.#above(owned.tokenOf(m));
+    if (!proved || to === m.shard || floor === undefined) return undefined;
+    return { kind: "move", to: { ...m, shard: to, floor } };
+  }
+
+  /** A higher token, where a lost start or a kept exit needs one. */
+  #raise(id: MachineId, m: MachineRecord, s: Session, round: ShardRound): Change | undefined {
+    const { owned } = this;
+    const note = owned.note(id);
     const blocked = (): boolean =>
-      [...replica.work(round.shard).openOn(id)].some(([task, o]) => inTheWay(s, task, o.attempt));
+      [...owned.ctx.replica.work(round.shard).openOn(id)].some(([task, o]) =>
+        inTheWay(s, task, o.attempt),
+      );
     const kept = s.sent.size > 0 && s.state === "ready";
     if (!kept) note.wantsBump = false;
     const pressing = needsBump(s) || (kept && (note.wantsBump || blocked()));
-    if (pressing || (worthBump(s) && s.state === "ready")) {
-      const floor = this.#above(owned.tokenOf(m));
-      if (floor !== undefined)
-        return { kind: "put", to: { ...m, endpoint, floor }, lazyMs: pressing ? 0 : LAZY_BUMP_MS };
-    }
-    if (endpoint !== m.endpoint) return { kind: "put", to: { ...m, endpoint }, lazyMs: LAZY_MS };
-    return undefined;
+    if (!pressing && !(worthBump(s) && s.state === "ready")) return undefined;
+    const floor = this.#above(owned.tokenOf(m));
+    if (floor === undefined) return undefined;
+    return { kind: "put", to: { ...m, floor }, lazyMs: pressing ? 0 : LAZY_BUMP_MS };
   }
 
   /**
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -87,7 +87,7 @@
     return this.#health.standing !== "alone" && this.#resignedUntil === undefined;
   }
 
-  /** One look at the evidence, with the other controllers' newest word. */
+  /** Updates the standing by the evidence, with the other controllers' newest answers. */
   updateStanding(answers: PeerAnswers): Standing {
     this.#peerAnswers = answers;
     return this.#step(false);
@@ -236,7 +236,7 @@
     if (this.#health.standing === "waking") this.#step(false);
   }
 
-  /** One look at members, shards and leadership; writes at most what this controller owes. */
+  /** Reconciles members, shards and leadership; writes at most what this controller owes. */
   async reconcile(): Promise<void> {
     if (this.#busy || this.#lease === undefined || !this.ctx.synced) return;
     this.#busy = true;
--- a/src/coordination/notes.ts
+++ b/src/coordination/notes.ts
@@ -41,7 +41,7 @@
   unreachableSince: Mono;
   /**
    * The last report that it sent by itself, since it is held here. One that answers calls and
-   * reports nothing is mute: its lease runs out whatever we tell it.
+   * sends no heartbeats is of no use: its lease runs out whatever we tell it.
    */
   reportedAt: Mono | null;
   /** A task waits for an exited attempt of its to be forgotten here, for want of another place. */
--- a/src/coordination/shard-owner.ts
+++ b/src/coordination/shard-owner.ts
@@ -227,9 +227,13 @@
   #disturbRewritten(): void {
     const { replica } = this.ctx;
     const { disturbed, sessions } = this.owned;
-    for (const id of replica.rewrittenJobs)
+    for (const id of replica.rewrittenJobs) {
+      const shard = replica.shardOf(id);
+      // Pages of shards that are not owned here need not be read for it.
+      if (shard === undefined || !this.membership.holds(shard)) continue;
       for (const o of replica.job(id)?.open ?? [])
         if (sessions.has(o.machine)) disturbed.add(o.machine);
+    }
     for (const id of replica.goneLately) if (sessions.has(id)) disturbed.add(id);
     replica.rewrittenJobs.clear();
     replica.goneLately.clear();
--- a/src/coordination/worker-channel.ts
+++ b/src/coordination/worker-channel.ts
@@ -8,6 +8,7 @@
   redirectBody,
   type TaskReport,
 } from "../protocol/workers.js";
+import type { MachineRecord } from "../storage/records.js";
 import { keys } from "../storage/records.js";
 import type { Calls, Reply } from "../transport/client.js";
 import { steadyNow, timeOfDay } from "../transport/clock.js";
@@ -15,6 +16,7 @@
 import { socketParts } from "../transport/sockets.js";
 import { type Connectivity, judgeConnectivity } from "./connectivity.js";
 import { refresh } from "./context.js";
+import { reasonLost, SILENT_CALLS } from "./machine-silence.js";
 import { type MachineNote, resetSuspicion, useImage } from "./notes.js";
 import { newSession, ordersFor, quietLine, type Session, type Wanted } from "./session.js";
 import type { ShardState } from "./shard-state.js";
@@ -34,13 +36,10 @@
 const WAVE_OVERDUE_PART = 0.5;
 const WAVE_SILENCE_PART = 0.5;
 const WATCH_EVERY_MS = 200;
-/** Calls in a row without an answer that make a machine mute, or deaf though it reports. */
-const SILENT_CALLS = 2;
-const UNREACHABLE_CALLS = 4;
 /** Leases without a report after which a machine that answers calls is given up. */
 const HEARTBEAT_LEASES = 3;
 /** With this part of its machines out of reach, the trouble is the controller's own. */
-const MUTE_PART = 0.8;
+const UNREACHED_PART = 0.8;
 /** Machines asked whether they can be reached again, and what part of them must answer. */
 const PROBES = 8;
 const PROBES_PART = 0.5;
@@ -319,10 +318,23 @@
     this.#hear(report, "direct", steadyNow());
   }
 
+  /** Reports come with up to a quarter of delay; one that is later than that is asked for. */
+  #worthAsking(
+    s: Session,
+    m: MachineRecord,
+    note: MachineNote,
+    overdue: boolean,
+    now: Mono,
+  ): boolean {
+    const claim = s.state === "claiming" || (s.state === "unheard" && m.endpoint !== "");
+    const asked = overdue || claim || note.unreachableCalls > 0;
+    return asked && now - note.calledAt >= PROBE_EVERY_MS;
+  }
+
   /**
-   * Silent machines are called; those that don't answer either are mute. One that reports but
-   * never answers a call is deaf: what it says proves no way to it, and it is of no use. Both are
-   * proved gone by returning them. A controller that reaches hardly any of its machines must not
+   * Silent machines are called; those that don't answer either are silent. One that reports but
+   * never answers a call is unreachable: what it says proves no way to it, and it is of no use.
+   * Both are proved gone by returning them. A controller that reaches hardly any of its machines must not
    * take its own trouble for theirs.
    */
   watchSilence(now: Mono): void {
@@ -344,28 +356,17 @@
       const m = replica.machines.get(id);
       if (m === undefined || replica.isGone(id)) continue;
       const note = owned.note(id);
-      const quiet = now - s.heardAt;
-      const claim = s.state === "claiming" || (s.state === "unheard" && m.endpoint !== "");
-      // Reports come with up to a quarter of delay; one that is later than that is asked for.
-      const overdue = quiet > overdueMs + OVERDUE_MS;
-      const asked = overdue || claim || note.unreachableCalls > 0;
-      if (asked && now - note.calledAt >= PROBE_EVERY_MS) this.callMachine(id);
+      const quietMs = now - s.heardAt;
+      if (this.#worthAsking(s, m, note, quietMs > overdueMs + OVERDUE_MS, now))
+        this.callMachine(id);
       if (m.endpoint === "" && s.report === undefined) continue;
       if (note.retire?.force === true || m.stage !== "up") continue;
       known++;
-      const unanswered = note.failedCalls > 0 && quiet > reportMs;
+      const unanswered = note.failedCalls > 0 && quietMs > reportMs;
       if (unanswered || note.unreachableCalls >= SILENT_CALLS) unreached++;
-      const silent = quiet >= patienceMs && note.failedCalls >= SILENT_CALLS;
-      const unreachable =
-        note.unreachableCalls >= UNREACHABLE_CALLS && now - note.unreachableSince >= silenceMs;
       if (s.report !== undefined) note.reportedAt ??= now;
-      const heartbeatsMissing = note.reportedAt !== null && now - note.reportedAt > heartbeatMs;
-      if (silent || unreachable || heartbeatsMissing)
-        lost.push({
-          id,
-          why: silent ? "silent" : unreachable ? "unreachable" : "heartbeats missing",
-          quietMs: quiet,
-        });
+      const why = reasonLost(note, quietMs, now, { silenceMs, patienceMs, heartbeatMs });
+      if (why !== undefined) lost.push({ id, why, quietMs });
     }
     // With the first machines held there was nobody to be heard before.
     if (this.#known === 0) this.#heardAt = now;
@@ -373,7 +374,7 @@
     this.#connectivity = judgeConnectivity({
       known,
       quietMs: now - this.#heardAt,
-      mute: unreached >= known * MUTE_PART,
+      mostUnreached: unreached >= known * UNREACHED_PART,
       reportMs,
       silenceMs,
       leaseMs: settings.workers.leaseS * 1000,
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -103,105 +103,158 @@
   return key;
 };
 
+type Tier = "wanted" | "needed";
+const TIERS: readonly Tier[] = ["wanted", "needed"];
+const LIMIT_TOLERANCE = 1e-9;
+
+export interface Demand {
+  readonly groups: readonly DemandGroup[];
+  readonly levels: ReadonlyMap<string, number>;
+}
+
+/** Adds up what jobs want, by group. */
+class DemandSums {
+  readonly #groups = new Map<string, Sum>();
+  readonly #byTypes = new Map<string, SharedTypes>();
+  /** Processors that each team may still use. */
+  readonly #teamRoom = new Map<TeamName, number>();
+
+  constructor(private readonly input: DemandInput) {}
+
+  add(id: JobId, job: LiveJob): void {
+    const { input } = this;
+    const { spec, open } = job;
+    const shard = input.shardOf.get(spec.team);
+    if (shard === undefined) return;
+    const sum = this.#group(spec);
+    const waiting = this.#waitingWithin(job);
+    const runS = input.runS(job);
+    const targets = targetsOf(spec, input.objectives, input.withinGuarantee.has(id));
+    sum.open += open.length;
+    sum.waits += waiting;
+    if (waiting > 0) sum.waiting.set(shard, (sum.waiting.get(shard) ?? 0) + waiting);
+    // One long job must not make its whole class urgent.
+    if (patienceS(targets, runS, input.patience) < input.bootS) sum.hasty += waiting + open.length;
+    const ageS = Math.max(0, (input.now - job.acceptedAt) / 1000);
+    const work = { waiting, open: open.length, runS };
+    this.#addWork(sum, work, "wanted", windowS(targets, ageS, runS, input.patience));
+    this.#addWork(sum, work, "needed", windowS(targets, ageS, runS, input.lastPatience));
+  }
+
+  #group(spec: JobSpec): Sum {
+    const key = groupKey(spec);
+    const known = this.#groups.get(key);
+    if (known !== undefined) return known;
+    const { needs, types, zone, spotAllowed, rank } = spec;
+    const sum: Sum = {
+      needs,
+      types,
+      zone,
+      spotAllowed,
+      rank: rankOrder(rank),
+      sharing: this.#sharing(spec),
+      open: 0,
+      waits: 0,
+      waiting: new Map(),
+      wanted: 0,
+      needed: 0,
+      hasty: 0,
+      urgent: false,
+    };
+    this.#groups.set(key, sum);
+    return sum;
+  }
+
+  #sharing({ needs, types }: JobSpec): SharedTypes {
+    const fitting = this.input.types.filter(
+      (t) => fits(needs, t.capacity) && (types === null || types.includes(t.name)),
+    );
+    const key = fitting.map((t) => t.name).join("|");
+    const sharing = this.#byTypes.get(key) ?? newSharedTypes();
+    this.#byTypes.set(key, sharing);
+    return sharing;
+  }
+
+  /** Waiting tasks of a job for which its team's limit leaves room. */
+  #waitingWithin(job: LiveJob): number {
+    const { team, needs, tasks } = job.spec;
+    const room = this.#teamRoom.get(team) ?? this.input.teams.get(team)?.cpusMax ?? 0;
+    const most = needs.cpus > 0 ? Math.floor((room + LIMIT_TOLERANCE) / needs.cpus) : tasks;
+    const waiting = Math.max(0, Math.min(waitingCount(job), most - job.open.length));
+    this.#teamRoom.set(team, room - (waiting + job.open.length) * needs.cpus);
+    return waiting;
+  }
+
+  /** Work left, over the time there is for it. The running are half done on the whole. */
+  #addWork(
+    sum: Sum,
+    work: { readonly waiting: number; readonly open: number; readonly runS: number },
+    tier: Tier,
+    window: number,
+  ): void {
+    const { waiting, open, runS } = work;
+    sum[tier] += waiting * Math.min(1, runS / window) + open * Math.min(1, runS / 2 / window);
+    sum.sharing.due[tier].push({
+      // Nothing is done sooner than it runs.
+      windowS: Math.max(window, runS, LEAST_WINDOW_S),
+      work: (waiting + open / 2) * runS * Math.max(sum.needs.cpus, LEAST_CPUS),
+    });
+  }
+
+  /** The groups, urgent or not, once all jobs are in. */
+  finish(): ReadonlyMap<string, Sum> {
+    for (const sum of this.#groups.values()) {
+      sum.urgent = 2 * sum.hasty > sum.open + sum.waits;
+      const cpus = Math.max(sum.needs.cpus, LEAST_CPUS);
+      for (const tier of TIERS) {
+        if (sum.urgent) sum[tier] = sum.open + sum.waits;
+        sum.sharing.alone[tier] += sum[tier] * cpus;
+      }
+    }
+    return this.#groups;
+  }
+}
+
+/** What part of the slots wanted by each group alone the demand bound of all together comes to. */
+const partOfAlone = (sharing: SharedTypes, tier: Tier, margin: number): number => {
+  const alone = sharing.alone[tier];
+  return alone > 0 ? Math.min(1, (margin * demandBound(sharing.due[tier])) / alone) : 1;
+};
+
 /**
  * Slots wanted by group. A class whose objectives leave less time than a machine takes to boot
  * wants room for all that is in the system, and some more; one with time to spare wants enough
  * for its backlog to drain within a part of that time. Both are smoothed: a burst that is over
  * before a machine has booted is no reason to rent one.
  */
-export const demandOf = (
-  d: DemandInput,
-): { readonly groups: readonly DemandGroup[]; readonly levels: ReadonlyMap<string, number> } => {
-  const sums = new Map<string, Sum>();
-  const byTypes = new Map<string, SharedTypes>();
-  const teamRoom = new Map<TeamName, number>();
-  for (const [id, j] of d.jobs) {
-    const shard = d.shardOf.get(j.spec.team);
-    if (shard === undefined) continue;
-    const { needs, types, zone, spotAllowed, rank, team } = j.spec;
-    const key = groupKey(j.spec);
-    let e = sums.get(key);
-    if (e === undefined) {
-      const base = { needs, types, zone, spotAllowed, rank: rankOrder(rank) };
-      const on = d.types.filter(
-        (t) => fits(needs, t.capacity) && (types === null || types.includes(t.name)),
-      );
-      const typesKey = on.map((t) => t.name).join("|");
-      const sharing = byTypes.get(typesKey) ?? newSharedTypes();
-      byTypes.set(typesKey, sharing);
-      e = {
-        ...base,
-        sharing,
-        open: 0,
-        waits: 0,
-        waiting: new Map(),
-        wanted: 0,
-        needed: 0,
-        hasty: 0,
-        urgent: false,
-      };
-      sums.set(key, e);
-    }
-    // A team at its limit can't use more room.
-    const room = teamRoom.get(team) ?? d.teams.get(team)?.cpusMax ?? 0;
-    const most = needs.cpus > 0 ? Math.floor((room + 1e-9) / needs.cpus) : j.spec.tasks;
-    const waiting = Math.max(0, Math.min(waitingCount(j), most - j.open.length));
-    teamRoom.set(team, room - (waiting + j.open.length) * needs.cpus);
-    const runS = d.runS(j);
-    const ageS = Math.max(0, (d.now - j.acceptedAt) / 1000);
-    const targets = targetsOf(j.spec, d.objectives, d.withinGuarantee.has(id));
-    e.open += j.open.length;
-    e.waits += waiting;
-    if (waiting > 0) e.waiting.set(shard, (e.waiting.get(shard) ?? 0) + waiting);
-    // One long job must not make its whole class urgent.
-    if (patienceS(targets, runS, d.patience) < d.bootS) e.hasty += waiting + j.open.length;
-    // Work left, over the time there is for it. The running are half done on the whole.
-    const slotsIn = (windowS: number): number =>
-      waiting * Math.min(1, runS / windowS) + j.open.length * Math.min(1, runS / 2 / windowS);
-    const work = (waiting + j.open.length / 2) * runS * Math.max(needs.cpus, LEAST_CPUS);
-    for (const [tier, part] of [
-      ["wanted", d.patience],
-      ["needed", d.lastPatience],
-    ] as const) {
-      const window = windowS(targets, ageS, runS, part);
-      e[tier] += slotsIn(window);
-      // Nothing is done sooner than it runs.
-      e.sharing.due[tier].push({ windowS: Math.max(window, runS, LEAST_WINDOW_S), work });
-    }
-  }
-  for (const e of sums.values()) {
-    e.urgent = 2 * e.hasty > e.open + e.waits;
-    const cpus = Math.max(e.needs.cpus, LEAST_CPUS);
-    for (const tier of ["wanted", "needed"] as const) {
-      if (e.urgent) e[tier] = e.open + e.waits;
-      e.sharing.alone[tier] += e[tier] * cpus;
-    }
-  }
-  const part = (sharing: SharedTypes, tier: "wanted" | "needed"): number => {
-    const bound = demandBound(sharing.due[tier]);
-    return sharing.alone[tier] > 0 ? Math.min(1, (d.margin * bound) / sharing.alone[tier]) : 1;
-  };
+export const demandOf = (input: DemandInput): Demand => {
+  const sums = new DemandSums(input);
+  for (const [id, job] of input.jobs) sums.add(id, job);
   const levels = new Map<string, number>();
-  const ranked: { g: DemandGroup; rank: number }[] = [];
-  for (const [key, e] of sums) {
-    const smooth = (name: string, level: number): number => {
-      const seen = follow(d.levels.get(name) ?? level, level, d.dtS, d.riseS, d.fallS);
-      levels.set(name, seen);
-      return seen;
+  const smoothed = (key: string, sum: Sum, tier: Tier): number => {
+    const name = `${key}|${tier}`;
+    const level = sum[tier] * partOfAlone(sum.sharing, tier, input.margin);
+    const before = input.levels.get(name) ?? level;
+    const seen = follow(before, level, input.dtS, input.riseS, input.fallS);
+    levels.set(name, seen);
+    return seen;
+  };
+  const groups = [...sums.finish()].map(([key, sum]): DemandGroup => {
+    const { needs, types, zone, spotAllowed, rank, urgent, waiting, open } = sum;
+    const beside = (slots: number): number => Math.max(0, Math.ceil(slots) - open);
+    const needed = smoothed(key, sum, "needed");
+    const wanted = smoothed(key, sum, "wanted");
+    return {
+      needs,
+      types,
+      zone,
+      spotAllowed,
+      rank,
+      urgent,
+      waiting,
+      needed: beside(needed),
+      wanted: beside(urgent ? wanted * (1 + input.headroom) : Math.max(wanted, needed)),
     };
-    const needed = smooth(`${key}|needed`, e.needed * part(e.sharing, "needed"));
-    const wanted = smooth(`${key}|wanted`, e.wanted * part(e.sharing, "wanted"));
-    const { open, waits, hasty, sharing: _sharing, wanted: _wanted, needed: _needed, ...g } = e;
-    const beside = (n: number): number => Math.max(0, Math.ceil(n) - open);
-    ranked.push({
-      g: {
-        ...g,
-        needed: beside(needed),
-        wanted: beside(e.urgent ? wanted * (1 + d.headroom) : Math.max(wanted, needed)),
-      },
-      rank: e.rank,
-    });
-  }
-  ranked.sort((a, b) => a.rank - b.rank);
-  return { groups: ranked.map((r) => r.g), levels };
+  });
+  return { groups: groups.sort((a, b) => a.rank - b.rank), levels };
 };
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -9,18 +9,16 @@
 import type { Logger } from "../observability/log.js";
 import { Metrics } from "../observability/metrics.js";
 import type { Incarnation } from "../protocol/ids.js";
-import { decodePeer } from "../protocol/peer.js";
-import { classify, NOW } from "../storage/records.js";
 import { Replica } from "../storage/replica.js";
 import { Store } from "../storage/store.js";
 import type { Calls } from "../transport/client.js";
 import { sleep, steadyNow } from "../transport/clock.js";
-import { type Answer, decodeBody, type Handler } from "../transport/server.js";
+import type { Handler } from "../transport/server.js";
 import { type PeriodicTask, periodicTask, rested } from "./periodic-task.js";
+import { ReplicaSync } from "./replica-sync.js";
+import { frontHandler, HEARTBEATS_PATH, peerHandler, SERVED_PATH } from "./routes.js";
 import { Users } from "./users.js";
 
-const WATCH_MS = 10_000;
-const RETRY_MS = 200;
 const MEMBERSHIP_MS = 250;
 const MIN_ROUND_GAP_MS = 15;
 const STANDING_MS = 400;
@@ -31,8 +29,6 @@
 const CANCELS_MS = 500;
 const FAILING_EVERY_MS = 2000;
 const PEER_MS = 800;
-const SERVED_PATH = "/served";
-const HEARTBEATS_PATH = "/hears";
 const PAUSE_CHECK_MS = 250;
 
 /** What a node reaches the world through. */
@@ -101,87 +97,8 @@
   );
   const users = new Users(ctx, membership, wake, (w) => cancels.confirm(w));
 
-  const front: Handler = (req) => {
-    const { method, path } = req;
-    if (path === "/agent/beat") {
-      if (method !== "POST") return { status: 405 };
-      const d = decodeBody(req.bytes);
-      if (!d.ok) return { status: 400, body: { error: "not CBOR" } };
-      return owner.heartbeat(d.value, (r) => leader.adopt(r));
-    }
-    if (path === "/ready") return method === "GET" ? users.ready() : { status: 405 };
-    if (path === "/work") return method === "POST" ? users.submit(req.bytes) : { status: 405 };
-    const parts = path.split("/");
-    if (parts[1] === "work" && parts.length === 3)
-      return method === "GET" ? users.poll(parts[2] ?? "") : { status: 405 };
-    if (parts[1] === "work" && parts.length === 4 && parts[3] === "withdraw")
-      return method === "POST" ? users.cancel(parts[2] ?? "") : { status: 405 };
-    return { status: 404, body: { error: "unknown path" } };
-  };
-
-  const inner: Handler = (req): Answer => {
-    // Whether the state service serves us: for one that it refuses, to tell its own trouble.
-    if (req.path === SERVED_PATH) return { status: ctx.synced && !ctx.store.failing() ? 204 : 503 };
-    if (req.path === HEARTBEATS_PATH) {
-      const heard =
-        ctx.synced && membership.entitled() ? owner.channel.receivesHeartbeats() : undefined;
-      return { status: heard === undefined ? 404 : heard ? 204 : 503 };
-    }
-    if (req.path !== "/peer") return { status: 404 };
-    if (req.method !== "POST") return { status: 405 };
-    try {
-      const m = decodePeer(req.bytes);
-      for (const x of m.moves) owner.requestMove(x);
-      for (const id of m.retire) owner.requestRetire(id, m.reason);
-      // Not yet knowing what it holds, it could not say that it will see to it.
-      if (m.cancelled.length > 0 && !ctx.synced) return { status: 503 };
-      cancels.heard(m.cancelled);
-      leader.noteFailing(m.failing);
-      wake();
-      return { status: 204 };
-    } catch {
-      log.info("malformed peer message", {});
-      return { status: 400 };
-    }
-  };
-
-  const rescan = async (): Promise<boolean> => {
-    const scan = await ctx.store.scan(NOW);
-    if (scan === undefined) return false;
-    ctx.replica.reset(scan.items, scan.rev);
-    return true;
-  };
-
-  const reconcileSoon = (): void => {
-    wake();
-    membership.reconcile().catch((e) => log.error("membership failed", { error: String(e) }));
-  };
-
-  const follow = async (): Promise<void> => {
-    if (!ctx.synced) {
-      if (!(await rescan())) return sleep(RETRY_MS);
-      ctx.synced = true;
-      log.info("synced", { rev: ctx.replica.position, jobs: ctx.replica.accepted.size });
-      reconcileSoon();
-    }
-    const w = await ctx.store.watch(NOW, ctx.replica.position, WATCH_MS);
-    if (w.kind === "unavailable") return sleep(RETRY_MS);
-    if (w.kind === "too_old") {
-      await rescan();
-      return;
-    }
-    let others = 0;
-    for (const c of w.changes) {
-      // What is news is not ours: our own is taken in when it is answered.
-      if (c.rev <= ctx.replica.rev(c.key)) continue;
-      // The end of a job also writes its final record, which no watch shows.
-      others += c.kind === "delete" && classify(c.key).kind === "live" ? 2 : 1;
-      ctx.replica.apply(c);
-    }
-    membership.othersWrote(others);
-    ctx.replica.advance(w.rev);
-    if (w.changes.length > 0) reconcileSoon();
-  };
+  const parts = { ctx, membership, owner, leader, cancels, users, wake };
+  const sync = new ReplicaSync(ctx, membership, wake);
 
   const rounds = async (): Promise<void> => {
     if (!roundDue)
@@ -256,8 +173,8 @@
   };
 
   return {
-    front,
-    inner,
+    front: frontHandler(parts),
+    inner: peerHandler(parts),
     tasks: [
       periodicTask("pauses", PAUSE_CHECK_MS, async () => owner.detectPause()),
       periodicTask("lease", Math.floor(operators.memberLeaseMs / 4), () => membership.keepLease()),
@@ -265,7 +182,7 @@
       periodicTask("standing", STANDING_MS, updateStanding),
       periodicTask("adopt", ADOPT_MS, () => leader.adoptAll()),
       periodicTask("cancels", CANCELS_MS, () => cancels.reconcile()),
-      periodicTask("watch", operators.watchPauseMs, follow),
+      periodicTask("watch", operators.watchPauseMs, () => sync.follow()),
       periodicTask("rounds", MIN_ROUND_GAP_MS, rounds),
       periodicTask("cloud", operators.fleetPeriodMs, () => leader.callCloud()),
       periodicTask("failing", FAILING_EVERY_MS, () => leader.tellFailing()),
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -82,7 +82,7 @@
 
 /**
  * `up`: rented, perhaps still booting. `retiring`: to be returned by the leader, nothing new
- * starts there. One that the cloud's word proves gone is named by a `gone` record until its
+ * starts there. One that an answer of the cloud proves gone is named by a `gone` record until its
  * owner has closed its attempts and dropped it.
  */
 export type MachineStage = "up" | "retiring";
--- a/test/coordination.test.ts
+++ b/test/coordination.test.ts
@@ -229,12 +229,12 @@
   ["none of a few for a second is chance", { known: 8, quietMs: 1000 }, "connected"],
   ["none of a few for half of what makes one silent", { known: 8, quietMs: 3300 }, "suspect"],
   ["too few to tell", { known: 3, quietMs: 20_000 }, "connected"],
-  ["heard, but hardly any call is answered", { mute: true, quietMs: 100 }, "disconnected"],
+  ["heard, but hardly any call is answered", { mostUnreached: true, quietMs: 100 }, "disconnected"],
   ["for so long that no lease can have lasted", { quietMs: 60_000 }, "abandoned"],
 ];
 
 test("hearing nothing: the machines, or the way to them", () => {
-  const base = { known: 200, quietMs: 0, mute: false };
+  const base = { known: 200, quietMs: 0, mostUnreached: false };
   const times = { reportMs: 5000, silenceMs: 6500, leaseMs: 29_000 };
   for (const [name, v, want] of ways)
     assert.equal(judgeConnectivity({ ...base, ...times, ...v }), want, name);
--- /dev/null
+++ b/test/periodic-task.test.ts
@@ -0,0 +1,30 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { rested } from "../src/service/periodic-task.js";
+import { SimClock } from "./sim/clock.js";
+
+/** How long a decision that took so long rests, at five times as long. */
+const cases: readonly (readonly [string, number, number])[] = [
+  ["too short to count", 1, 0],
+  ["in proportion", 20, 100],
+  // The process stood still in the middle of it: its clock ran on, and nobody would be moved for minutes.
+  ["after a pause not for minutes", 35_000, 2000],
+];
+
+for (const [name, tookMs, restMs] of cases)
+  test(`a decision rests: ${name}`, async () => {
+    const clock = new SimClock(1);
+    let restedFrom = -1;
+    let until = -1;
+    const decide = rested(5, async () => {
+      clock.now += tookMs;
+      restedFrom = clock.now;
+    });
+    clock.after(1, () => {
+      void decide().then(() => {
+        until = clock.now;
+      });
+    });
+    await clock.runUntil(60_000);
+    assert.equal(until - restedFrom, restMs);
+  });
