Ends of jobs go in transactions of their own after a round; fewer repeated stop calls

Up to three transactions of ends alone follow a round; they need no look at machines, and ask for the shards owned anew each time. A machine with tasks that stop is called again after 0.4 s, not in each round.

--- a/src/coordination/closing.ts
+++ b/src/coordination/closing.ts
@@ -22,6 +22,9 @@
  */
 const ENDS_PART = 0.7;
 
+/** How soon a machine on which something is to stop is called again. */
+const STOP_AGAIN_MS = 400;
+
 interface Closing {
   readonly key: string;
   readonly index: number;
@@ -45,6 +48,16 @@
   readonly closedKeys: string[];
 }
 
+export const newShardRound = (shard: ShardId, batch: Batch, now: Mono): ShardRound => ({
+  shard,
+  batch,
+  now,
+  drafts: new Map(),
+  call: new Set(),
+  closed: new Map(),
+  closedKeys: [],
+});
+
 /** Is the attempt proved gone, and how did it end? Null: it isn't. */
 const proof = (
   owned: ShardState,
@@ -65,7 +78,11 @@
   const found = findAttempt(s, task, attempt, key);
   if (found.kind === "present") {
     if (found.report.stage === "ended") return { report: found.report };
-    if (stopped) round.call.add(machine);
+    // Told already, and asked again after a while: it may need time to save, and its next heartbeat
+    // is answered with the same.
+    const told = round.now - owned.note(machine).calledAt < STOP_AGAIN_MS;
+    if (stopped && told) owned.disturbed.add(machine);
+    else if (stopped) round.call.add(machine);
     return null;
   }
   if (found.kind !== "absent") return null;
@@ -79,12 +96,19 @@
   round: ShardRound,
   machines: Iterable<MachineId>,
 ): void => {
-  const { index } = owned.ctx.replica.work(round.shard);
   const byJob = provedGone(owned, round, machines);
-  // Ends that are due: cancelled jobs with nothing open, and completed ones that had to wait.
-  for (const ended of [index.cancelled, index.complete])
-    for (const [id, job] of ended) if (job.open.length === 0 && !byJob.has(id)) byJob.set(id, []);
   for (const [id, rows] of byJob) closeOfJob(owned, round, id, rows);
+  endDueJobs(owned, round, ENDS_PART);
+};
+
+/** Ends cancelled jobs with nothing open, and completed ones whose ends had to wait. */
+export const endDueJobs = (owned: ShardState, round: ShardRound, part = 1): void => {
+  const { index } = owned.ctx.replica.work(round.shard);
+  for (const due of [index.cancelled, index.complete])
+    for (const [id, job] of due) {
+      if (round.batch.ops >= round.batch.mostOps * part) return;
+      if (job.open.length === 0 && !round.drafts.has(id)) closeOfJob(owned, round, id, []);
+    }
 };
 
 /** Attempts on these machines that are proved gone, by job. */
@@ -163,7 +187,9 @@
   const over = job.cancelledAt !== null ? next.open.length === 0 : doneTasks === job.spec.tasks;
   const rev = owned.ctx.replica.accepted.get(id)?.rev;
   const stage = job.cancelledAt !== null ? "cancelled" : "done";
-  if (over && rev !== undefined && batch.ops < batch.mostOps * ENDS_PART)
+  // An end of a job that has waited for it already is bounded by whoever asks for it.
+  const room = !closed || batch.ops < batch.mostOps * ENDS_PART;
+  if (over && rev !== undefined && room)
     if (batch.finish(shard, id, rev, { stage, done: doneTasks })) return true;
   // Its end can wait, but not the room that its tasks have left.
   return closed && batch.putJob(shard, id, next);
--- a/src/coordination/machine-records.ts
+++ b/src/coordination/machine-records.ts
@@ -143,10 +143,11 @@
   #raise(id: MachineId, m: MachineRecord, s: Session, round: ShardRound): Change | undefined {
     const { owned } = this;
     const note = owned.note(id);
-    const blocked = (): boolean =>
-      [...owned.ctx.replica.work(round.shard).openOn(id)].some(([task, o]) =>
-        inTheWay(s, task, o.attempt),
-      );
+    const open = owned.ctx.replica.work(round.shard).openOn(id);
+    const blocked = (): boolean => {
+      for (const [task, o] of open) if (inTheWay(s, task, o.attempt)) return true;
+      return false;
+    };
     const kept = s.sent.size > 0 && s.state === "ready";
     if (!kept) note.wantsBump = false;
     const pressing = needsBump(s) || (kept && (note.wantsBump || blocked()));
--- a/src/coordination/shard-owner.ts
+++ b/src/coordination/shard-owner.ts
@@ -1,13 +1,15 @@
 import { type MachineId, type Mono, mono, revision } from "../protocol/ids.js";
 import type { MoveRequest } from "../protocol/peer.js";
+import type { Txn } from "../protocol/store.js";
 import type { Report } from "../protocol/workers.js";
 import { classify } from "../storage/records.js";
 import type { Calls } from "../transport/client.js";
 import { steadyNow } from "../transport/clock.js";
 import type { Answer } from "../transport/server.js";
 import { Batch } from "./batch.js";
-import { closeAttempts, type ShardRound } from "./closing.js";
+import { closeAttempts, endDueJobs, newShardRound } from "./closing.js";
 import { absorb, type Context, refresh } from "./context.js";
+import { drainRequested, handleSpotNotices } from "./evictions.js";
 import { MachineRecords } from "./machine-records.js";
 import type { Membership } from "./membership.js";
 import { PlacementRound } from "./placement-round.js";
@@ -29,6 +31,9 @@
 const CATCH_UP_MS = 25;
 const PAGES: ReadonlySet<string> = new Set(["work", "fleet"]);
 
+/** Transactions of ends alone that may follow a round. */
+const MOST_END_TXNS = 3;
+
 /** What to do after a round: another at once, one after a pause, or one when something happens. */
 export type Next = "again" | "idle" | { readonly pauseMs: number };
 
@@ -119,10 +124,10 @@
     const pauseMs = ctx.store.writeWaitMs(LEAST_WRITES);
     if (pauseMs > 0) return { pauseMs };
     for (const [task, x] of owned.incoming) if (x.until <= now) owned.incoming.delete(task);
-    this.#handleSpotNotices(now);
+    handleSpotNotices(owned, now);
     // What is stopped to make room could not be started again while nothing can be written.
     const writes = !ctx.store.failing();
-    if (writes) this.#drainRequested(now);
+    if (writes) drainRequested(owned, now);
     if (writes && now - this.#swarmAt >= ctx.operators.swarmPeriodS * 1000) {
       this.#swarmAt = now;
       for (const shard of shards) swarmPeriod(owned, shard, now);
@@ -152,20 +157,30 @@
       return { pauseMs: ctx.store.writeWaitMs(LEAST_WRITES) };
     }
     this.#records.nextNames();
+    if (!(await this.#commit(t))) {
+      for (const id of looked) owned.disturbed.add(id);
+      return "again";
+    }
+    for (const key of closedKeys) owned.attempts.delete(key);
+    owned.sync(steadyNow());
+    callAll();
+    await this.#endJobs();
+    return "again";
+  }
+
+  /** True if it was applied; else what stood in the way is known by now. */
+  async #commit(t: Txn): Promise<boolean> {
+    const { ctx, owned } = this;
     const began = steadyNow();
     const r = await ctx.store.settle(t, () => ctx.stopping);
     ctx.metrics.record("commit", steadyNow() - began);
     if (r.kind === "applied") {
       absorb(ctx.replica, t.ops, r.rev);
-      for (const key of closedKeys) owned.attempts.delete(key);
       owned.counters.commits++;
       owned.counters.puts += t.ops.length;
-      owned.sync(steadyNow());
-      callAll();
-      return "again";
+      return true;
     }
     owned.counters.conflicts++;
-    for (const id of looked) owned.disturbed.add(id);
     ctx.log.debug("round not applied", { result: r.kind, ops: t.ops.length });
     const failed = r.kind === "conflict" ? r.failed : [];
     // Its own first copy was applied, most likely, without an answer. Keys read one by one are of
@@ -175,7 +190,27 @@
     await refresh(ctx, failed.length > 0 ? failed : t.conditions.map((c) => c.key));
     for (const key of pages)
       this.#catchUp = revision(Math.max(this.#catchUp, ctx.replica.rev(key)));
-    return "again";
+    return false;
+  }
+
+  /**
+   * Final records of jobs whose ends had no room in the round, in transactions of their own: these
+   * need no look at machines, so in a flood of small jobs they come faster than rounds do.
+   */
+  async #endJobs(): Promise<void> {
+    const { ctx, owned } = this;
+    const { replica, settings } = ctx;
+    for (let n = 0; n < MOST_END_TXNS && !ctx.stopping; n++) {
+      if (replica.position < this.#catchUp || !this.membership.entitled()) return;
+      const batch = new Batch(replica, { ...settings.state, size: settings.size });
+      // Asked anew each time: a shard may have gone to another while the last one was written.
+      for (const shard of this.membership.ownedShards())
+        endDueJobs(owned, newShardRound(shard, batch, steadyNow()));
+      if (batch.empty) return;
+      const t = batch.txn();
+      if (!ctx.store.mayWriteBatch(t.ops.length, LEAST_WRITES)) return;
+      if (!(await this.#commit(t))) return;
+    }
   }
 
   #decide(shards: readonly ReturnType<Membership["ownedShards"]>[number][], now: Mono) {
@@ -193,15 +228,7 @@
     for (let i = 0; i < shards.length; i++) {
       const shard = shards[(i + this.#turn) % shards.length];
       if (shard === undefined) continue;
-      const round: ShardRound = {
-        shard,
-        batch,
-        now,
-        call,
-        closedKeys,
-        drafts: new Map(),
-        closed: new Map(),
-      };
+      const round = { ...newShardRound(shard, batch, now), call, closedKeys };
       const own = [...looked].filter((id) => replica.machines.get(id)?.shard === shard);
       // What frees resources and ends jobs goes first, then machines, then starts.
       closeAttempts(owned, round, own);
@@ -239,46 +266,6 @@
     replica.goneLately.clear();
   }
 
-  /** The cloud takes a machine away: what can't end in time is saved, or started elsewhere now. */
-  #handleSpotNotices(now: Mono): void {
-    const { owned } = this;
-    const { replica } = this.ctx;
-    for (const [id, s] of owned.sessions) {
-      const noticeS = s.report?.noticeS ?? null;
-      if (noticeS === null || s.state !== "ready") continue;
-      const leftS = noticeS - (now - s.heardAt) / 1000;
-      for (const o of replica.openOn(id).values()) {
-        const job = replica.accepted.get(o.job)?.value;
-        if (job === undefined) continue;
-        const { key } = o;
-        const note = owned.attemptNote(key, id);
-        const ranS = note.runningSince === null ? 0 : (now - note.runningSince) / 1000;
-        // The nominal notice may be half of the true one, and estimates are often half wrong.
-        const ends = note.runningSince !== null && job.spec.expectS - ranS < leftS / 2;
-        if (job.spec.checkpointS > 0 || !ends)
-          owned.stop(key, id, "notice", job.spec.saveS < leftS ? job.spec.saveS : 0);
-      }
-      owned.note(id).retire ??= { reason: "notice", force: false };
-    }
-  }
-
-  /** Machines that the leader wants for urgent work of another shard are cleared for it. */
-  #drainRequested(now: Mono): void {
-    const { owned } = this;
-    const { replica } = this.ctx;
-    for (const [id, note] of owned.machines) {
-      if (note.move === null) continue;
-      if (note.move.until <= now) note.move = null;
-      else if (note.move.drain)
-        for (const o of replica.openOn(id).values()) {
-          const saveS = replica.accepted.get(o.job)?.value.spec.saveS ?? 0;
-          const { key } = o;
-          if (!owned.attempts.get(key)?.stop) owned.counters.preempted++;
-          owned.stop(key, id, "preempted", saveS);
-        }
-    }
-  }
-
   stats(): Readonly<Record<string, unknown>> {
     return this.owned.stats();
   }
--- a/test/round-cost.test.ts
+++ b/test/round-cost.test.ts
@@ -2,7 +2,7 @@
 import test from "node:test";
 import { defaultOperators } from "../src/cli/operators.js";
 import { Batch } from "../src/coordination/batch.js";
-import { closeAttempts, type ShardRound } from "../src/coordination/closing.js";
+import { closeAttempts, endDueJobs, newShardRound } from "../src/coordination/closing.js";
 import type { Context } from "../src/coordination/context.js";
 import type { Membership } from "../src/coordination/membership.js";
 import { PlacementRound } from "../src/coordination/placement-round.js";
@@ -70,7 +70,7 @@
   readonly state: ShardState;
   #rev = 0;
 
-  constructor(running: number) {
+  constructor(running: number, complete = 0) {
     new SimClock(1);
     const settings = { state: LIMITS, size: 1, objectives: [], workers: { leaseS: 20 } };
     const team = { name: TEAM, cpus: 4, gpus: 0, cpusMax: 10_000, gpusMax: 0 };
@@ -88,7 +88,7 @@
     this.#put(keys.types, typesValue([TYPE]));
     this.#put(keys.teams, teamsValue(new Map([[TEAM, SHARD]])));
     this.#machines();
-    this.#jobs(running);
+    this.#jobs(running, complete);
   }
 
   #put(key: string, value: unknown): Revision {
@@ -111,9 +111,9 @@
     }
   }
 
-  #jobs(running: number): void {
+  #jobs(running: number, complete: number): void {
     const page = new Map<ReturnType<typeof jobId>, Progress>();
-    for (let i = 0; i < running + WAITING; i++) {
+    for (let i = 0; i < running + WAITING + complete; i++) {
       const id = jobId(`wk-${i}`);
       const spec = this.#counted(specOf(id));
       const job = { spec, acceptedAt: wall(i), cancelledAt: null };
@@ -121,6 +121,7 @@
       // Those that run do so on a machine that no session is about.
       const open = [{ index: 0, attempt: attemptNo(1), machine: machineId("m-99") }];
       if (i < running) page.set(id, { done: [], open, nextAttempt: 2 });
+      if (i >= running + WAITING) page.set(id, { done: [0, 0], open: [], nextAttempt: 2 });
       this.replica.work(SHARD).jobChanged(id);
     }
     this.#put(keys.work(SHARD, 0), workPageValue(page));
@@ -137,22 +138,21 @@
     });
   }
 
-  /** Steps and starts of one round. */
-  round(): { readonly steps: number; readonly starts: number } {
+  /** Steps, starts and changes of one round. */
+  round(): { readonly steps: number; readonly starts: number; readonly ops: number } {
     const batch = new Batch(this.replica, LIMITS);
-    const round: ShardRound = {
-      shard: SHARD,
-      batch,
-      now: mono(0),
-      call: new Set(),
-      closedKeys: [],
-      drafts: new Map(),
-      closed: new Map(),
-    };
+    const round = newShardRound(SHARD, batch, mono(0));
     closeAttempts(this.state, round, this.state.sessions.keys());
     if (PlacementRound.needed(this.state, round))
       new PlacementRound(this.state, round, new Set()).run();
-    return { steps: this.steps, starts: this.state.counters.starts };
+    return { steps: this.steps, starts: this.state.counters.starts, ops: batch.ops };
+  }
+
+  /** Changes of a transaction of ends alone. */
+  ends(): number {
+    const batch = new Batch(this.replica, LIMITS);
+    endDueJobs(this.state, newShardRound(SHARD, batch, mono(0)));
+    return batch.ops;
   }
 
   /** What a pass over all live jobs takes. */
@@ -171,3 +171,15 @@
   // The count does notice a pass over all of them.
   assert.ok(new Setup(500).fullPass() > 5 * new Setup(50).fullPass());
 });
+
+/**
+ * In a flood of one-task jobs their ends, two changes each, filled every transaction, and hundreds of
+ * jobs waited for minutes beside idle machines.
+ */
+test("ends leave room for starts, and what is left of them goes by itself", () => {
+  const flood = new Setup(0, 200);
+  assert.ok(flood.ends() > LIMITS.txnOps - 3, "ends alone fill a transaction");
+  const { starts, ops } = flood.round();
+  assert.equal(starts, WAITING);
+  assert.ok(ops > LIMITS.txnOps / 2 && ops < LIMITS.txnOps - 3, `${ops} changes`);
+});
