Overload: rounds and plans rest in proportion; overloaded shards get no more machines

What changed: a round rests six times as long as it took, plans and rebalances ten times; a shard with many machines long due and not heard is given no more; connections silent for two minutes are closed (vanished machines never close theirs).

--- a/src/coordination/fleet/planner.ts
+++ b/src/coordination/fleet/planner.ts
@@ -17,6 +17,7 @@
 import type { ShardOwner } from "../shard-owner.js";
 import type { FailingJobs } from "./failing-jobs.js";
 import type { MachineTypes } from "./machine-types.js";
+import { overloadedShards } from "./overload.js";
 import type { OwnerRequests } from "./owner-requests.js";
 import type { FleetRecords } from "./records.js";
 import type { Rentals } from "./rentals.js";
@@ -73,6 +74,7 @@
       maxRents: MAX_RENT * Math.max(1, Math.floor(settings.cloud.rps)),
       lifeS: operators.lifeS,
       size: settings.size,
+      overloaded: overloadedShards(this.ctx.replica, this.ctx.settings.workers.reportS),
     });
     if (this.ctx.log.enabled("debug")) this.#logPlan(machines, plan);
     this.#noteTransfers(plan.moves, now);
@@ -92,7 +94,9 @@
     const machines = this.#idleMachines(now);
     if (machines.length === 0) return;
     const { size } = this.ctx.settings;
-    const input = { types: this.types.all(), machines, demand: this.#demand(0), size };
+    const overloaded = overloadedShards(this.ctx.replica, this.ctx.settings.workers.reportS);
+    const demand = this.#demand(0);
+    const input = { types: this.types.all(), machines, demand, size, overloaded };
     const moves = idleMoves(input);
     this.#noteTransfers(moves, now);
     this.owners.move(moves);
--- a/src/coordination/shard-owner.ts
+++ b/src/coordination/shard-owner.ts
@@ -42,6 +42,7 @@
   readonly owned: ShardState;
   readonly channel: WorkerChannel;
   readonly #records: MachineRecords;
+  readonly #heartbeats = { accepted: 0, redirected: 0, refused: 0 };
   #committing = false;
   #swarmAt: Mono = steadyNow();
   /** Machines that have yet to be looked at in turn. */
@@ -65,7 +66,16 @@
 
   heartbeat(body: unknown, adopt: (r: Report) => void): Answer {
     this.detectPause();
-    return this.channel.heartbeat(body, adopt);
+    const answer = this.channel.heartbeat(body, adopt);
+    this.#countHeartbeat(answer.status);
+    return answer;
+  }
+
+  /** Heartbeats by what became of them, for the logs. */
+  #countHeartbeat(status: number): void {
+    if (status === 200) this.#heartbeats.accepted++;
+    else if (status === 421) this.#heartbeats.redirected++;
+    else this.#heartbeats.refused++;
   }
 
   /**
@@ -269,6 +279,6 @@
   }
 
   stats(): Readonly<Record<string, unknown>> {
-    return this.owned.stats();
+    return { ...this.owned.stats(), heartbeats: this.#heartbeats };
   }
 }
--- a/src/scheduling/fleet.ts
+++ b/src/scheduling/fleet.ts
@@ -1,9 +1,10 @@
 import type { MachineType } from "../protocol/cloud.js";
-import { type MachineId, type ShardId, shardId } from "../protocol/ids.js";
+import type { MachineId, ShardId } from "../protocol/ids.js";
 import type { Resources } from "../protocol/jobs.js";
 import type { MoveRequest } from "../protocol/peer.js";
 import { contenders, distinctNeeds } from "./placement.js";
 import { fits, minus, plus, slots } from "./resources.js";
+import { shardAssigner } from "./shard-assigner.js";
 
 /** Tasks that are alike for renting: the same need and the same allowed machines. */
 export interface DemandGroup {
@@ -70,6 +71,8 @@
   readonly lifeS: number;
   /** How many shards there are. */
   readonly size: number;
+  /** Shards whose owners don't keep up with the machines they have: they are given no more. */
+  readonly overloaded: ReadonlySet<ShardId>;
 }
 
 export const offerKey = (type: string, zone: string, spot: boolean): string =>
@@ -209,6 +212,7 @@
 const planMoves = (
   demand: readonly DemandGroup[],
   rooms: readonly Room[],
+  overloaded: ReadonlySet<ShardId>,
 ): {
   readonly moves: readonly MoveRequest[];
   readonly short: ReadonlyMap<ShardId, number>;
@@ -222,7 +226,7 @@
         for (const r of own) yieldTo(g, r);
         left = fill(g, left, own);
       }
-      if (left > 0) unmet.push({ g, shard, left });
+      if (left > 0 && !overloaded.has(shard)) unmet.push({ g, shard, left });
     }
   const moves = [...take(unmet, rooms, false), ...take(unmet, rooms, true)];
   const short = new Map<ShardId, number>();
@@ -230,7 +234,7 @@
   return { moves, short };
 };
 
-type Ground = Pick<FleetInput, "types" | "machines" | "demand" | "size">;
+type Ground = Pick<FleetInput, "types" | "machines" | "demand" | "size" | "overloaded">;
 
 const dear = (m: FleetMachine): number =>
   (m.spot ? m.type.spotPrice : m.type.price) / Math.max(1, m.type.capacity.cpus);
@@ -268,7 +272,7 @@
 
 /** Which idle machines go to shards that lack room, nothing else being moved for them. */
 export const idleMoves = (input: Ground): readonly MoveRequest[] =>
-  planMoves(byChoice(input), roomsOf(input)).moves;
+  planMoves(byChoice(input), roomsOf(input), input.overloaded).moves;
 
 /**
  * What to rent, move and return. Shares divide the machines, but not the forecast: an idle machine
@@ -277,7 +281,7 @@
  */
 export const planFleet = (input: FleetInput): FleetPlan => {
   const demand = byChoice(input);
-  const { moves, short } = planMoves(demand, roomsOf(input));
+  const { moves, short } = planMoves(demand, roomsOf(input), input.overloaded);
   const moved = new Set(moves.map((m) => m.machine));
 
   const rooms = roomsOf(input);
@@ -289,9 +293,14 @@
   const assign = shardAssigner(input, short);
   const rents = new Map<string, Rent>();
   let total = 0;
+  // Demand is forecast for all shards together; beside an overloaded one only what others lack counts.
+  let lacking =
+    input.overloaded.size === 0
+      ? Number.POSITIVE_INFINITY
+      : [...short.values()].reduce((sum, n) => sum + n, 0);
   const rent = (g: DemandGroup, count: number, spotOnly: boolean): void => {
     let rest = count;
-    while (rest > 0 && total < input.maxRents) {
+    while (rest > 0 && total < input.maxRents && lacking > 0) {
       const offer = bestOffer(g, input, asked, spotOnly);
       if (offer === undefined) break;
       const key = offerKey(offer.type.name, offer.zone, offer.spot);
@@ -305,6 +314,7 @@
       });
       total++;
       rest -= offer.perMachine;
+      lacking -= offer.perMachine;
     }
   };
   // What is needed may take any room; what is merely wanted only the cheap, or ordinary machines
@@ -319,32 +329,6 @@
   return { rents: [...rents.values()], moves, returns };
 };
 
-/** New machines go to the shard that lacks most, and else to the one that has least. */
-const shardAssigner = (
-  input: FleetInput,
-  short: ReadonlyMap<ShardId, number>,
-): ((cpus: number, slots: number) => ShardId) => {
-  const lacks = new Map(short);
-  const has = new Map<ShardId, number>();
-  for (let n = 0; n < input.size; n++) has.set(shardId(n), 0);
-  for (const m of input.machines) has.set(m.shard, (has.get(m.shard) ?? 0) + m.type.capacity.cpus);
-  return (cpus, perMachine) => {
-    let to = shardId(0);
-    let most = Number.NEGATIVE_INFINITY;
-    for (const [n, owned] of has) {
-      const lack = lacks.get(n) ?? 0;
-      const score = lack > 0 ? lack : -owned;
-      if (score > most) {
-        most = score;
-        to = n;
-      }
-    }
-    lacks.set(to, (lacks.get(to) ?? 0) - perMachine);
-    has.set(to, (has.get(to) ?? 0) + cpus);
-    return to;
-  };
-};
-
 /** A level that follows what it sees, upwards and downwards each at its own pace. */
 export const follow = (
   old: number,
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -26,11 +26,19 @@
  * machine has changed or ten; at 15 ms rounds took a quarter of a controller's processor time.
  */
 const MIN_ROUND_GAP_MS = 50;
+/**
+ * How many times as long as it took a round rests, and for how long at most. (Resting for as long as
+ * it took, and never more than a quarter of a second, rounds took most of a small controller's
+ * processor while many jobs waited, and its machines' leases ran out.)
+ */
+const ROUND_REST = 6;
+const MOST_ROUND_REST_MS = 2000;
 const STANDING_MS = 400;
 const ADOPT_MS = 400;
 const REBALANCE_MS = 200;
-/** How many times as long as it took a rebalance rests. */
-const REBALANCE_REST = 5;
+/** How many times as long as they took a rebalance and a plan of the fleet rest. */
+const REBALANCE_REST = 10;
+const PLAN_REST = 10;
 const CANCELS_MS = 500;
 const FAILING_EVERY_MS = 2000;
 const PEER_MS = 800;
@@ -118,9 +126,10 @@
     roundDue = false;
     const began = steadyNow();
     const round = owner.round();
-    // As long as was decided for, what happens gathers into a wider batch: however much there is to
-    // decide, reports, users and leases keep half of the processor.
-    const restUntil = steadyNow() + Math.min(operators.roundMs, steadyNow() - began);
+    // For several times as long as was decided for, what happens gathers into a wider batch: however
+    // much there is to decide, reports, users and leases keep most of the processor.
+    const tookMs = steadyNow() - began;
+    const restUntil = steadyNow() + Math.min(MOST_ROUND_REST_MS, ROUND_REST * tookMs);
     const next = await round;
     if (next !== "idle") roundDue = true;
     // The same until the budget lets the next one through.
@@ -207,7 +216,11 @@
         REBALANCE_MS,
         rested(REBALANCE_REST, () => leader.rebalance()),
       ),
-      periodicTask("fleet", operators.fleetPeriodMs, () => leader.plan()),
+      periodicTask(
+        "fleet",
+        operators.fleetPeriodMs,
+        rested(PLAN_REST, () => leader.plan()),
+      ),
       periodicTask("stats", operators.statsPeriodS * 1000, stats),
     ],
     stop: () => {
--- a/src/transport/server.ts
+++ b/src/transport/server.ts
@@ -102,6 +102,11 @@
  */
 const CLOSE_WORKERS_PART = 0.75;
 const CLOSE_ALL_PART = 0.9;
+/**
+ * Machines that vanish never close their connections, and in a fleet that changes all the time these
+ * took up all that are let in. Whoever lives reports or asks many times as often.
+ */
+const SILENT_CONNECTION_MS = 120_000;
 const WORKERS_PATH = "/agent/beat";
 
 /** An HTTP server whose handler can't end the process, whatever comes in. */
@@ -143,7 +148,7 @@
   server.keepAliveTimeout = 0;
   server.requestTimeout = 0;
   server.headersTimeout = 0;
-  server.timeout = 0;
+  server.timeout = SILENT_CONNECTION_MS;
   server.maxConnections = maxConnections;
   server.on("connection", (socket) => {
     open++;
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,8 +1,17 @@
 import assert from "node:assert/strict";
 import test from "node:test";
 import type { Objective } from "../src/cli/settings.js";
+import { overloadedShards } from "../src/coordination/fleet/overload.js";
 import type { MachineType } from "../src/protocol/cloud.js";
-import { jobId, machineId, shardId, teamName, wall } from "../src/protocol/ids.js";
+import {
+  jobId,
+  machineId,
+  revision,
+  type ShardId,
+  shardId,
+  teamName,
+  wall,
+} from "../src/protocol/ids.js";
 import type { Rank } from "../src/protocol/jobs.js";
 import { demandBound, demandOf } from "../src/scheduling/demand.js";
 import {
@@ -22,7 +31,17 @@
   type PreemptionSource,
 } from "../src/scheduling/preemption.js";
 import { JobIndex } from "../src/storage/job-index.js";
-import { type LiveJob, newJob } from "../src/storage/records.js";
+import { fleetPageValue } from "../src/storage/pages.js";
+import {
+  keys,
+  type LiveJob,
+  type MachineRecord,
+  newJob,
+  typesValue,
+} from "../src/storage/records.js";
+import { Replica } from "../src/storage/replica.js";
+import { timeOfDay } from "../src/transport/clock.js";
+import { SimClock } from "./sim/clock.js";
 
 const type = (name: string, cpus: number, price: number, spotPrice: number): MachineType => ({
   name,
@@ -85,6 +104,7 @@
   machines?: readonly FleetMachine[];
   demand?: readonly DemandGroup[];
   refused?: readonly string[];
+  overloaded?: readonly ShardId[];
   want: { rents?: readonly string[]; moves?: readonly string[]; returns?: readonly string[] };
 }[] = [
   {
@@ -139,6 +159,26 @@
     demand: [group(1, 2, { waiting: new Map() }), group(0, 2)],
     want: { rents: ["small b spot 1 >0"], moves: ["m>0"] },
   },
+  // Machines that its owner had not heard yet had it rented ever more.
+  {
+    name: "an overloaded shard is rented nothing, and no other shard for it",
+    demand: [group(0, 4)],
+    overloaded: [shardId(0)],
+    want: {},
+  },
+  {
+    name: "another shard is rented what it lacks itself",
+    demand: [group(0, 4), group(1, 2)],
+    overloaded: [shardId(0)],
+    want: { rents: ["small a spot 1 >1"] },
+  },
+  {
+    name: "an overloaded shard is given no machine of another",
+    machines: [machine("m", 1)],
+    demand: [group(0, 2)],
+    overloaded: [shardId(0)],
+    want: {},
+  },
   {
     name: "for urgent work, a machine of others that holds only lower rank, with the least loss",
     machines: [
@@ -186,6 +226,7 @@
       maxRents: 50,
       lifeS: 300,
       size: 2,
+      overloaded: new Set(c.overloaded ?? []),
     });
     assert.deepEqual(
       p.rents.map(
@@ -461,3 +502,41 @@
     ["wk-7", "wk-6", "wk-5", "wk-4", "wk-3", "wk-2", "wk-1"],
   );
 });
+
+/**
+ * The owner of a flooded shard was rented hundreds of machines whose reports it could not answer.
+ * Machines heard, machines long due and not heard, machines that still boot.
+ */
+const loads: readonly (readonly [string, number, number, number, boolean])[] = [
+  ["all heard", 100, 0, 0, false],
+  ["some that never came up", 100, 5, 0, false],
+  ["a tenth and more not heard", 100, 14, 0, true],
+  ["none heard yet, all booting", 0, 0, 100, false],
+  ["none heard, all due", 0, 10, 0, true],
+  ["few, and none heard", 0, 3, 0, false],
+];
+test("shards whose owners don't get to their machines", () => {
+  for (const [name, heard, due, booting, overloaded] of loads) {
+    new SimClock(1).now = 1_000_000;
+    const replica = new Replica();
+    const rows: [ReturnType<typeof machineId>, MachineRecord][] = [];
+    const add = (n: number, endpoint: string, ageS: number): void => {
+      for (let i = 0; i < n; i++) {
+        const rentedAt = wall(timeOfDay() - ageS * 1000);
+        const row = { shard: shardId(1), type: SMALL.name, zone: "a", spot: true, endpoint };
+        rows.push([
+          machineId(`m-${rows.length}`),
+          { ...row, stage: "up", rentedAt, floor: revision(1) },
+        ]);
+      }
+    };
+    add(heard, "m:1", 500);
+    add(due, "", 500);
+    add(booting, "", 1);
+    const types = typesValue([SMALL]);
+    replica.apply({ kind: "put", key: keys.types, value: types, rev: revision(1) });
+    const page = fleetPageValue(rows);
+    replica.apply({ kind: "put", key: keys.fleet(shardId(1), "1"), value: page, rev: revision(2) });
+    assert.equal(overloadedShards(replica, 3).has(shardId(1)), overloaded, name);
+  }
+});
--- a/test/layers.test.ts
+++ b/test/layers.test.ts
@@ -51,7 +51,7 @@
   "src/coordination/cancels.ts": 405,
   "src/coordination/placement-round.ts": 340,
   "src/coordination/membership.ts": 323,
-  "src/scheduling/fleet.ts": 360,
+  "src/scheduling/fleet.ts": 345,
 };
 const MOST_LINES = 300;
 
