--- /dev/null
+++ b/packages/load-spread/src/index.ts
@@ -0,0 +1,29 @@
+/**
+ * Spreads a busy team over several shards. Pure decisions: what is known and a time come in, changes
+ * of spans, shares and orders come out. The service supplies records, transactions and the clock.
+ */
+export { chooseShard } from "./choose-shard.js";
+export { type FairTurn, type FairTurnInput, fairTurns, type WaitingWork } from "./fair-share.js";
+export { greedyTargets } from "./greedy-planner.js";
+export type { OwnerLoad, ShardLoad, TeamLoad } from "./load.js";
+export {
+  leastShares,
+  type PlanInput,
+  planCost,
+  planInput,
+  type Targets,
+  type TeamPlan,
+  worthWriting,
+} from "./plan.js";
+export { LoadSpreadPlanner, type PlannerCounters } from "./planner.js";
+export {
+  NO_PRESSURE,
+  type Pressure,
+  type PressureInput,
+  type PressureState,
+  stepPressure,
+} from "./pressure.js";
+export type { LoadSpreadSettings } from "./settings.js";
+export { solveTargets } from "./solver-planner.js";
+export { decideSpan, dissolvable, type SpanDecision, teamPressure } from "./span-policy.js";
+export { nextTransfer, type TransferInput } from "./transfers.js";
--- /dev/null
+++ b/packages/spans/src/index.ts
@@ -0,0 +1,17 @@
+/**
+ * A team that spans several shards. Its quota (limit and guarantee) is held in escrow: each shard of
+ * the span has a share of it, and opens attempts within that share alone, without asking anybody.
+ */
+export { parseSpan, spanValue } from "./codec.js";
+export {
+  type EntryState,
+  homeSpan,
+  type Share,
+  type Span,
+  type SpanEntry,
+  share,
+  shareOf,
+  sumOfShares,
+  WHOLE,
+} from "./span.js";
+export { type Refusal, type SpanEvent, type Stepped, stepSpan } from "./step.js";
--- /dev/null
+++ b/packages/spans/test/spans.test.ts
@@ -0,0 +1,244 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { type ShardId, shardId } from "@umberfold/ids";
+import {
+  homeSpan,
+  parseSpan,
+  type Span,
+  type SpanEvent,
+  share,
+  shareOf,
+  spanValue,
+  stepSpan,
+  sumOfShares,
+  WHOLE,
+} from "@umberfold/spans";
+import fc from "fast-check";
+
+const SEED = 20261202;
+const SHARDS = 5;
+const HOME = shardId(0);
+
+const shards = fc.integer({ min: 0, max: SHARDS - 1 }).map(shardId);
+const parts = fc.integer({ min: -10, max: WHOLE + 10 }).map(share);
+
+const events: fc.Arbitrary<SpanEvent> = fc.oneof(
+  ...(["join", "adopt", "drain", "leave"] as const).map((kind) =>
+    fc.record({ kind: fc.constant(kind), shard: shards }),
+  ),
+  fc.record({
+    kind: fc.constant("plan" as const),
+    targets: fc.array(fc.tuple(shards, parts), { maxLength: SHARDS }).map((rows) => new Map(rows)),
+  }),
+  fc.record({
+    kind: fc.constant("transfer" as const),
+    from: shards,
+    to: shards,
+    amount: parts,
+    used: parts.map((part) => share(Math.max(0, part))),
+  }),
+);
+
+const checkInvariants = (span: Span): void => {
+  assert.equal(sumOfShares(span.entries.map((e) => e.share)), WHOLE);
+  assert.ok(sumOfShares(span.entries.map((e) => e.target)) <= WHOLE);
+  assert.equal(new Set(span.entries.map((e) => e.shard)).size, span.entries.length);
+  assert.equal(span.entries.find((e) => e.shard === span.home)?.state, "active");
+  for (const e of span.entries) assert.ok(Number.isInteger(e.share) && e.share >= 0);
+};
+
+test("no order of events breaks an invariant, and what is written is read back alike", () => {
+  fc.assert(
+    fc.property(fc.array(events, { maxLength: 60 }), (list) => {
+      let span = homeSpan(HOME);
+      for (const event of list) {
+        const stepped = stepSpan(span, event);
+        if (stepped.ok) span = stepped.span;
+        checkInvariants(span);
+        assert.deepEqual(parseSpan(JSON.parse(JSON.stringify(spanValue(span))), SHARDS), span);
+      }
+    }),
+    { seed: SEED, numRuns: 400 },
+  );
+});
+
+test("only a transfer lowers a share, and never below what is in use", () => {
+  fc.assert(
+    fc.property(fc.array(events, { maxLength: 60 }), (list) => {
+      let span = homeSpan(HOME);
+      for (const event of list) {
+        const stepped = stepSpan(span, event);
+        if (!stepped.ok) continue;
+        for (const e of span.entries) {
+          const after = shareOf(stepped.span, e.shard);
+          if (after >= e.share) continue;
+          assert.ok(event.kind === "transfer" && event.from === e.shard);
+          assert.ok(after >= event.used);
+        }
+        span = stepped.span;
+      }
+    }),
+    { seed: SEED, numRuns: 400 },
+  );
+});
+
+/** A record with revisions, as the state service keeps it: a write names the one it was read at. */
+class Register {
+  span = homeSpan(HOME);
+  rev = 1;
+
+  write(rev: number, span: Span): boolean {
+    if (rev !== this.rev) return false;
+    this.span = span;
+    this.rev++;
+    return true;
+  }
+}
+
+const OWNER_STEPS = ["start", "end", "hand", "look"] as const;
+type Step =
+  | { readonly kind: (typeof OWNER_STEPS)[number]; readonly shard: ShardId }
+  | { readonly kind: "lead"; readonly event: SpanEvent }
+  | { readonly kind: "late"; readonly which: number };
+
+const steps: fc.Arbitrary<Step> = fc.oneof(
+  fc.record({ kind: fc.constantFrom(...OWNER_STEPS), shard: shards }),
+  fc.record({
+    kind: fc.constant("lead" as const),
+    event: events.filter((e) => e.kind !== "transfer"),
+  }),
+  fc.record({ kind: fc.constant("late" as const), which: fc.nat(50) }),
+);
+
+/** Owners that see the record late, starts bound to it, writes lost, repeated and carried out late. */
+test("open attempts of all shards together never pass the limit", () => {
+  const Limit = 20;
+  fc.assert(
+    fc.property(fc.array(steps, { maxLength: 200 }), (list) => {
+      const register = new Register();
+      const open = new Map<ShardId, number>();
+      const seen = new Map<ShardId, { readonly span: Span; readonly rev: number }>();
+      const writes: { readonly rev: number; readonly span: Span }[] = [];
+      const viewOf = (shard: ShardId) => seen.get(shard) ?? { span: homeSpan(HOME), rev: 1 };
+      for (const step of list) {
+        if (step.kind === "look") seen.set(step.shard, { span: register.span, rev: register.rev });
+        else if (step.kind === "end")
+          open.set(step.shard, Math.max(0, (open.get(step.shard) ?? 0) - 1));
+        else if (step.kind === "start") {
+          const view = viewOf(step.shard);
+          const most = (Limit * shareOf(view.span, step.shard)) / WHOLE;
+          const next = (open.get(step.shard) ?? 0) + 1;
+          // The transaction of a start names the record's revision.
+          if (next <= most + 1e-9 && view.rev === register.rev) open.set(step.shard, next);
+        } else if (step.kind === "hand") {
+          const view = viewOf(step.shard);
+          const used = share(Math.ceil(((open.get(step.shard) ?? 0) / Limit) * WHOLE));
+          const to = view.span.entries.find((e) => e.shard !== step.shard)?.shard;
+          const amount = share(shareOf(view.span, step.shard) - used);
+          if (to === undefined) continue;
+          const event = { kind: "transfer", from: step.shard, to, amount, used } as const;
+          const stepped = stepSpan(view.span, event);
+          if (!stepped.ok) continue;
+          writes.push({ rev: view.rev, span: stepped.span });
+          register.write(view.rev, stepped.span);
+        } else if (step.kind === "lead") {
+          const stepped = stepSpan(register.span, step.event);
+          if (!stepped.ok) continue;
+          writes.push({ rev: register.rev, span: stepped.span });
+          register.write(register.rev, stepped.span);
+        } else if (step.kind === "late") {
+          const late = writes[step.which];
+          if (late !== undefined) register.write(late.rev, late.span);
+        }
+        const all = [...open.values()].reduce((sum, n) => sum + n, 0);
+        assert.ok(all <= Limit, `${all} open`);
+      }
+    }),
+    { seed: SEED, numRuns: 1500 },
+  );
+});
+
+const good = spanValue(homeSpan(HOME)) as { f: number; h: number; e: unknown[] };
+const bad: readonly (readonly [string, unknown])[] = [
+  ["nothing", undefined],
+  ["a text", "span"],
+  ["another version", { ...good, f: 2 }],
+  ["a home that is no shard", { ...good, h: SHARDS }],
+  ["no home among the entries", { ...good, e: [[1, 0, WHOLE, WHOLE]] }],
+  ["a home that drains", { ...good, e: [[0, 1, WHOLE, WHOLE]] }],
+  ["a shard twice", { ...good, e: [...good.e, ...good.e] }],
+  ["a shard beyond the shards", { ...good, e: [...good.e, [SHARDS, 0, 0, 0]] }],
+  ["more than the whole", { ...good, e: [...good.e, [1, 0, 1, 0]] }],
+  ["targets beyond the whole", { ...good, e: [...good.e, [1, 0, 0, 1]] }],
+  ["a negative share", { ...good, e: [...good.e, [1, 0, -1, 0]] }],
+  ["a broken share", { ...good, e: [...good.e, [1, 0, 0.5, 0]] }],
+  ["a share that is no number", { ...good, e: [...good.e, [1, 0, "1", 0]] }],
+  ["an unknown state", { ...good, e: [...good.e, [1, 2, 0, 0]] }],
+  ["a short entry", { ...good, e: [...good.e, [1]] }],
+];
+for (const [name, value] of bad)
+  test(`a record is not believed: ${name}`, () => {
+    assert.equal(parseSpan(value, SHARDS), undefined);
+  });
+
+const refusals: readonly (readonly [string, SpanEvent, string])[] = [
+  ["a join twice", { kind: "join", shard: HOME }, "in the span already"],
+  ["adopting what is there", { kind: "adopt", shard: HOME }, "in the span already"],
+  ["draining home", { kind: "drain", shard: HOME }, "home shard"],
+  ["leaving home", { kind: "leave", shard: HOME }, "home shard"],
+  ["draining a stranger", { kind: "drain", shard: shardId(3) }, "not in the span"],
+  [
+    "a plan for a stranger",
+    { kind: "plan", targets: new Map([[shardId(3), share(1)]]) },
+    "not in the span",
+  ],
+  [
+    "a transfer to a stranger",
+    { kind: "transfer", from: HOME, to: shardId(3), amount: share(1), used: share(0) },
+    "not in the span",
+  ],
+  [
+    "a transfer of what is in use",
+    { kind: "transfer", from: HOME, to: shardId(1), amount: share(600_000), used: share(500_000) },
+    "in use",
+  ],
+];
+for (const [name, event, refusal] of refusals)
+  test(`an event is refused: ${name}`, () => {
+    const joined = stepSpan(homeSpan(HOME), { kind: "join", shard: shardId(1) });
+    assert.ok(joined.ok);
+    assert.deepEqual(stepSpan(joined.span, event), { ok: false, refusal });
+  });
+
+test("a shard leaves only while it drains and holds nothing", () => {
+  const one = shardId(1);
+  const joined = stepSpan(homeSpan(HOME), { kind: "join", shard: one });
+  assert.ok(joined.ok);
+  const amount = share(100);
+  const given = stepSpan(joined.span, {
+    kind: "transfer",
+    from: HOME,
+    to: one,
+    amount,
+    used: share(0),
+  });
+  assert.ok(given.ok);
+  const drained = stepSpan(given.span, { kind: "drain", shard: one });
+  assert.ok(drained.ok);
+  const early = stepSpan(drained.span, { kind: "leave", shard: one });
+  assert.deepEqual(early, { ok: false, refusal: "holds a share" });
+  const back = stepSpan(drained.span, {
+    kind: "transfer",
+    from: one,
+    to: HOME,
+    amount,
+    used: share(0),
+  });
+  assert.ok(back.ok);
+  const left = stepSpan(back.span, { kind: "leave", shard: one });
+  assert.ok(left.ok);
+  assert.deepEqual(
+    left.span.entries.map((e) => e.shard),
+    [HOME],
+  );
+});
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,7 +4,7 @@
  * moment, so that it also holds what is compiled only when it is first called.
  */
 import { spawnSync } from "node:child_process";
-import { readFileSync, writeFileSync } from "node:fs";
+import { mkdirSync, readFileSync, writeFileSync } from "node:fs";
 import net from "node:net";
 import { build } from "esbuild";
 import { parse } from "smol-toml";
@@ -14,12 +14,55 @@
 const CACHE_VARIABLE = "UMBERFOLD_WRITE_CACHE_AFTER_MS";
 const LEVEL_VARIABLE = "LOG_LEVEL";
 
+/** Packages that are loaded only where they are switched on, each from a file of its own. */
+const PACKAGES = ["load-spread"];
+const PACKAGES_FILE = "deploy/packages.hcl";
+
 /** Loaded on first use only, and large: they stay files of their own. */
 const EXTERNAL = ["hcl2-parser", "hdr-histogram-js"];
 
+const { checkPackages } = await import("../target/cli/packages.js");
+const { parseHcl } = await import("../target/cli/hcl.js");
+
+/** Reading HCL takes half a second of processor time: a start reads what the build made of it. */
+const compilePackagesFile = async () => {
+  const parsed = await parseHcl(readFileSync(PACKAGES_FILE, "utf8"));
+  const checked = parsed.ok ? checkPackages(parsed.value) : parsed;
+  if (!checked.ok) {
+    for (const fault of checked.faults) console.error(`${PACKAGES_FILE}: ${fault}`);
+    process.exit(1);
+  }
+  writeFileSync("target/packages.json", JSON.stringify(parsed.value));
+};
+await compilePackagesFile();
+
+/** In the bundle a package's name stands for the file that the build makes of it. */
+const packagesApart = {
+  name: "packages-apart",
+  setup: ({ onResolve }) => {
+    for (const name of PACKAGES)
+      onResolve({ filter: new RegExp(`^@umberfold/${name}$`) }, ({ kind }) =>
+        kind === "entry-point" ? undefined : { path: `./packages/${name}.cjs`, external: true },
+      );
+  },
+};
+
+mkdirSync("target/packages", { recursive: true });
+for (const name of PACKAGES)
+  await build({
+    entryPoints: [`target/packages/${name}/index.js`],
+    outfile: `target/packages/${name}.cjs`,
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    logLevel: "error",
+  });
+
 await build({
   entryPoints: ["target/main.js"],
   outfile: "target/umberfold.cjs",
+  plugins: [packagesApart],
   bundle: true,
   platform: "node",
   target: "node20",
@@ -69,7 +112,7 @@
 writeFileSync("target/build-settings.toml", await settings());
 // V8 takes a cache only under the flags it was made with: those of the deploy file.
 const [program, ...words] = parse(readFileSync("deploy/service.toml", "utf8")).run.split(" ");
-const flags = words.filter((word) => word.startsWith("--") && word !== "--config");
+const flags = words.slice(0, words.indexOf("target/start.cjs"));
 const made = spawnSync(
   program,
   [...flags, "target/start.cjs", "--config", "target/build-settings.toml"],
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,6 +4,12 @@
 import * as Effect from "effect/Effect";
 import { makeLogger, parseLevel } from "../observability/log.js";
 import { defaultOperators, type Operators, parseOperators } from "./operators.js";
+import {
+  checkAgainstShards,
+  defaultPackages,
+  type PackageSettings,
+  parsePackages,
+} from "./packages.js";
 import { type Checked, parseSettings, type Settings } from "./settings.js";
 
 const readText = (path: string): Checked<string> => {
@@ -20,13 +26,21 @@
   return text.ok ? String(JSON.parse(text.value).version) : "unknown";
 };
 
+interface Options {
+  readonly config: string;
+  readonly operators?: string;
+  readonly packages?: string;
+  readonly check?: boolean;
+}
+
 interface Loaded {
   readonly settings: Settings;
   readonly operators: Operators;
+  readonly packages: PackageSettings;
 }
 
-/** Both files, or every fault found in them, each a line with its file's name. */
-const load = async (config: string, operators: string | undefined): Promise<Checked<Loaded>> => {
+/** All files, or every fault found in them, each a line with its file's name. */
+const load = async ({ config, operators, packages }: Options): Promise<Checked<Loaded>> => {
   const text = readText(config);
   const settings = text.ok ? parseSettings(text.value) : text;
   const faults = settings.ok ? [] : settings.faults.map((f) => `${config}: ${f}`);
@@ -36,19 +50,25 @@
     knobs = hcl.ok ? await parseOperators(hcl.value) : hcl;
     if (!knobs.ok) faults.push(...knobs.faults.map((f) => `${operators}: ${f}`));
   }
-  return settings.ok && knobs.ok
-    ? { ok: true, value: { settings: settings.value, operators: knobs.value } }
-    : { ok: false, faults };
+  let switches: Checked<PackageSettings> = { ok: true, value: defaultPackages() };
+  if (packages !== undefined) {
+    const source = readText(packages);
+    switches = source.ok ? await parsePackages(packages, source.value) : source;
+    if (!switches.ok) faults.push(...switches.faults.map((f) => `${packages}: ${f}`));
+    else if (settings.ok)
+      faults.push(
+        ...checkAgainstShards(switches.value, settings.value.size).map((f) => `${packages}: ${f}`),
+      );
+  }
+  if (!settings.ok || !knobs.ok || !switches.ok || faults.length > 0) return { ok: false, faults };
+  return {
+    ok: true,
+    value: { settings: settings.value, operators: knobs.value, packages: switches.value },
+  };
 };
 
-interface Options {
-  readonly config: string;
-  readonly operators?: string;
-  readonly check?: boolean;
-}
-
 const start = async (o: Options): Promise<void> => {
-  const loaded = await load(o.config, o.operators);
+  const loaded = await load(o);
   if (!loaded.ok) {
     for (const f of loaded.faults) process.stderr.write(`umberfold: ${f}\n`);
     process.exitCode = 1;
@@ -58,17 +78,19 @@
     process.stdout.write("settings are valid\n");
     return;
   }
-  const { settings, operators } = loaded.value;
+  const { settings, operators, packages } = loaded.value;
   const log = makeLogger(parseLevel(process.env.LOG_LEVEL), { node: settings.label });
   for (const what of settings.passedOver) log.info("objective passed over", { what });
   // Last resort: a fault in one request or pass must not end what serves all others.
   process.on("uncaughtException", (e) => log.error("uncaught", { error: String(e.stack ?? e) }));
   process.on("unhandledRejection", (e) => log.error("unhandled", { error: String(e) }));
   const { runController } = await import("../service/controller.js");
-  await Effect.runPromise(Effect.scoped(runController(settings, operators, log))).catch((e) => {
-    log.error("can't run", { error: String(e) });
-    process.exit(1);
-  });
+  await Effect.runPromise(Effect.scoped(runController(settings, operators, packages, log))).catch(
+    (e) => {
+      log.error("can't run", { error: String(e) });
+      process.exit(1);
+    },
+  );
 };
 
 export const main = async (argv: readonly string[]): Promise<void> => {
@@ -77,6 +99,7 @@
     .version(version())
     .requiredOption("--config <file>", "settings handed over by the platform (TOML)")
     .option("--operators <file>", "operators' own settings (HCL)")
+    .option("--packages <file>", "which packages are on, and their settings (HCL, or JSON)")
     .option("--check", "check the settings and exit")
     .action(start);
   await program.parseAsync([...argv]);
--- a/src/cli/operators.ts
+++ b/src/cli/operators.ts
@@ -1,3 +1,4 @@
+import { parseHcl } from "./hcl.js";
 import { Reader } from "./reader.js";
 import type { Checked } from "./settings.js";
 
@@ -103,17 +104,7 @@
     : { ok: true, value: out as unknown as Operators };
 };
 
-/** The HCL library costs half a second of processor time to load: only when there is a file. */
 export const parseOperators = async (source: string): Promise<Checked<Operators>> => {
-  const hcl = (await import("hcl2-parser")).default as {
-    parseToObject: (s: string) => readonly [unknown, unknown];
-  };
-  try {
-    const [value, error] = hcl.parseToObject(source);
-    if (error !== null && error !== undefined) return { ok: false, faults: [`not HCL: ${error}`] };
-    if (typeof value !== "object" || value === null) return { ok: false, faults: ["not HCL"] };
-    return checkOperators(value as Readonly<Record<string, unknown>>);
-  } catch (e) {
-    return { ok: false, faults: [`not HCL: ${String(e).split("\n")[0]}`] };
-  }
+  const parsed = await parseHcl(source);
+  return parsed.ok ? checkOperators(parsed.value) : parsed;
 };
--- a/src/cli/settings.ts
+++ b/src/cli/settings.ts
@@ -1,5 +1,5 @@
+import { type ControllerLabel, controllerLabel, type TeamName, teamName } from "@umberfold/ids";
 import { parse } from "smol-toml";
-import { type ControllerLabel, controllerLabel, type TeamName, teamName } from "../protocol/ids.js";
 import { leastSockets } from "../transport/sockets.js";
 import { Reader } from "./reader.js";
 
--- a/src/coordination/cancels.ts
+++ b/src/coordination/cancels.ts
@@ -1,4 +1,3 @@
-import { MAX_RETURN, returnBody } from "../protocol/cloud.js";
 import {
   attemptKey,
   type ControllerLabel,
@@ -7,7 +6,8 @@
   type Mono,
   type TaskId,
   taskId,
-} from "../protocol/ids.js";
+} from "@umberfold/ids";
+import { MAX_RETURN, returnBody } from "../protocol/cloud.js";
 import { type CancelNotice, EMPTY_MESSAGE, encodePeer } from "../protocol/peer.js";
 import { ordersBody, parseReport, type Report } from "../protocol/workers.js";
 import { keys, liveValue, type OpenAttempt } from "../storage/records.js";
--- a/src/coordination/closing.ts
+++ b/src/coordination/closing.ts
@@ -7,7 +7,7 @@
   type ShardId,
   type TaskId,
   taskId,
-} from "../protocol/ids.js";
+} from "@umberfold/ids";
 import type { TaskReport } from "../protocol/workers.js";
 import { rangesAdd, rangesCount } from "../storage/ranges.js";
 import { type LiveJob, NO_PROGRESS, type Progress } from "../storage/records.js";
--- a/src/coordination/context.ts
+++ b/src/coordination/context.ts
@@ -1,19 +1,23 @@
+import type { ControllerLabel, Revision, TeamName } from "@umberfold/ids";
 import type { Operators } from "../cli/operators.js";
 import type { Settings, Team } from "../cli/settings.js";
 import type { Logger } from "../observability/log.js";
 import type { Metrics } from "../observability/metrics.js";
-import type { ControllerLabel, Revision, TeamName } from "../protocol/ids.js";
 import type { Op } from "../protocol/store.js";
 import type { ControllerId } from "../storage/records.js";
 import type { Replica } from "../storage/replica.js";
 import type { Store } from "../storage/store.js";
+import type { LoadSpreadHooks } from "./load-spread/hooks.js";
 import type { LoopLag } from "./loop-lag.js";
 import type { PauseDetector } from "./pause-detector.js";
+import type { Quotas } from "./quotas.js";
 
 /** What all parts of one controller share. */
 export interface Context {
   readonly settings: Settings;
   readonly teams: ReadonlyMap<TeamName, Team>;
+  /** What of each team's limit and guarantee a shard may use. */
+  readonly quotas: Quotas;
   readonly operators: Operators;
   readonly store: Store;
   readonly replica: Replica;
@@ -23,6 +27,8 @@
   readonly metrics: Metrics;
   readonly pauses: PauseDetector;
   readonly lag: LoopLag;
+  /** Decisions of the load-spread package; absent while it is off. */
+  loadSpread?: LoadSpreadHooks;
   /** False until the first scan is in. */
   synced: boolean;
   stopping: boolean;
--- a/src/coordination/evictions.ts
+++ b/src/coordination/evictions.ts
@@ -1,4 +1,4 @@
-import type { Mono } from "../protocol/ids.js";
+import type { Mono } from "@umberfold/ids";
 import type { ShardState } from "./shard-state.js";
 
 /** The cloud takes a machine away: what can't end in time is saved, or started elsewhere now. */
--- a/src/coordination/fleet/failing-jobs.ts
+++ b/src/coordination/fleet/failing-jobs.ts
@@ -1,4 +1,4 @@
-import { type JobId, type Mono, mono } from "../../protocol/ids.js";
+import { type JobId, type Mono, mono } from "@umberfold/ids";
 import type { JobSpec } from "../../protocol/jobs.js";
 import { EMPTY_MESSAGE, encodePeer } from "../../protocol/peer.js";
 import { doneCount, type LiveJob } from "../../storage/records.js";
--- /dev/null
+++ b/src/coordination/fleet/leader-records.ts
@@ -0,0 +1,38 @@
+import type { Txn } from "../../protocol/store.js";
+import { keys } from "../../storage/records.js";
+import { absorb, type Context, refresh } from "../context.js";
+import type { Membership } from "../membership.js";
+
+/**
+ * The records that only the leader writes. Each write is conditional on its leadership, so that one
+ * of a deposed leader fails however late it is carried out.
+ */
+export class LeaderRecords {
+  constructor(
+    protected readonly ctx: Context,
+    private readonly membership: Membership,
+  ) {}
+
+  /** Whether this controller leads, and knows the records. */
+  get writable(): boolean {
+    return this.ctx.synced && this.membership.mayLead();
+  }
+
+  /** True if it was applied; else what stood in the way is known by now. */
+  async write(t: Txn): Promise<boolean> {
+    const { ctx } = this;
+    const lead = ctx.replica.leader;
+    if (lead === undefined || !this.membership.mayLead()) return false;
+    const conditions = [...t.conditions, { key: keys.leader, rev: lead.rev }];
+    const r = await ctx.store.settle({ ...t, conditions }, () => ctx.stopping);
+    if (r.kind === "applied") {
+      absorb(ctx.replica, t.ops, r.rev);
+      return true;
+    }
+    await refresh(
+      ctx,
+      conditions.map((c) => c.key),
+    );
+    return false;
+  }
+}
--- a/src/coordination/fleet/machine-types.ts
+++ b/src/coordination/fleet/machine-types.ts
@@ -1,6 +1,7 @@
+import { type Mono, mono } from "@umberfold/ids";
 import { type MachineType, parseTypes } from "../../protocol/cloud.js";
-import { type Mono, mono } from "../../protocol/ids.js";
-import { keys, typesValue } from "../../storage/records.js";
+import { typesValue } from "../../storage/cluster-records.js";
+import { keys } from "../../storage/records.js";
 import { steadyNow } from "../../transport/clock.js";
 import type { Context } from "../context.js";
 import type { Cloud } from "./cloud.js";
--- a/src/coordination/fleet/overload.ts
+++ b/src/coordination/fleet/overload.ts
@@ -1,4 +1,4 @@
-import type { ShardId } from "../../protocol/ids.js";
+import type { ShardId } from "@umberfold/ids";
 import type { Replica } from "../../storage/replica.js";
 import { timeOfDay } from "../../transport/clock.js";
 
--- a/src/coordination/fleet/owner-requests.ts
+++ b/src/coordination/fleet/owner-requests.ts
@@ -1,4 +1,4 @@
-import type { ControllerLabel, MachineId } from "../../protocol/ids.js";
+import type { ControllerLabel, MachineId } from "@umberfold/ids";
 import { EMPTY_MESSAGE, encodePeer, type MoveRequest } from "../../protocol/peer.js";
 import type { Calls } from "../../transport/client.js";
 import { addressOf, type Context } from "../context.js";
--- a/src/coordination/fleet/planner.ts
+++ b/src/coordination/fleet/planner.ts
@@ -1,5 +1,5 @@
+import { type JobId, type MachineId, type Mono, mono, type ShardId } from "@umberfold/ids";
 import { MAX_RENT } from "../../protocol/cloud.js";
-import { type JobId, type MachineId, type Mono, mono, type ShardId } from "../../protocol/ids.js";
 import { rankOrder } from "../../protocol/jobs.js";
 import type { MoveRequest } from "../../protocol/peer.js";
 import { demandOf } from "../../scheduling/demand.js";
@@ -105,7 +105,7 @@
   /** Whether a task waits that its shard's owner must have laid over its own machines by now. */
   #someWait(): boolean {
     const at = timeOfDay();
-    for (const work of this.ctx.replica.works())
+    for (const [, work] of this.ctx.replica.works())
       for (const job of work.index.waiting.values())
         if (at - job.acceptedAt > SETTLE_MS) return true;
     return false;
@@ -216,10 +216,10 @@
 
   /** Jobs within their team's guarantee; of one that fails everywhere only the tasks it wants. */
   #withinGuarantee(): ReadonlySet<JobId> {
-    const { replica, teams } = this.ctx;
+    const { replica, quotas } = this.ctx;
     const out = new Set<JobId>();
-    for (const { index } of replica.works())
-      for (const id of index.withinGuarantee(teams.values(), (job, spec) =>
+    for (const [shard, { index }] of replica.works())
+      for (const id of index.withinGuarantee(quotas.teamsOf(shard).values(), (job, spec) =>
         this.failing.tasksWanted(job, spec),
       ))
         out.add(id);
@@ -231,7 +231,7 @@
     const types = this.types.all();
     const demand = demandOf({
       jobs: this.failing.wanting(),
-      shardOf: replica.teams?.value ?? new Map(),
+      shardOf: (id) => replica.shardOf(id),
       teams,
       withinGuarantee: this.#withinGuarantee(),
       objectives: settings.objectives,
--- a/src/coordination/fleet/records.ts
+++ b/src/coordination/fleet/records.ts
@@ -1,54 +1,22 @@
-import { ABSENT, type MachineId, type ShardId } from "../../protocol/ids.js";
-import type { Condition, Op, Txn } from "../../protocol/store.js";
+import { ABSENT, type MachineId, type ShardId } from "@umberfold/ids";
+import type { Condition, Op } from "../../protocol/store.js";
 import { fleetPageValue, MACHINE_BYTES } from "../../storage/pages.js";
 import { keys, type MachineRecord } from "../../storage/records.js";
 import { pageLimit } from "../batch.js";
-import { absorb, type Context, refresh } from "../context.js";
-import type { Membership } from "../membership.js";
+import { LeaderRecords } from "./leader-records.js";
 
 /** Machines returned lately, whose late reports must not have them adopted again. */
 const RETURNED_KEPT = 10_000;
 
 export type NewMachine = Omit<MachineRecord, "floor">;
 
-/**
- * The records that only the leader writes. Each write is conditional on its leadership, so that one
- * of a deposed leader fails however late it is carried out.
- */
-export class FleetRecords {
+/** The leader's records of machines: their names, and which machines were returned. */
+export class FleetRecords extends LeaderRecords {
   readonly #returned = new Set<MachineId>();
   /** Machines whose records are being written. */
   readonly #entering = new Set<MachineId>();
   #names = 0;
 
-  constructor(
-    private readonly ctx: Context,
-    private readonly membership: Membership,
-  ) {}
-
-  /** Whether this controller leads, and knows the records. */
-  get writable(): boolean {
-    return this.ctx.synced && this.membership.mayLead();
-  }
-
-  /** True if it was applied; else what stood in the way is known by now. */
-  async write(t: Txn): Promise<boolean> {
-    const { ctx } = this;
-    const lead = ctx.replica.leader;
-    if (lead === undefined || !this.membership.mayLead()) return false;
-    const conditions = [...t.conditions, { key: keys.leader, rev: lead.rev }];
-    const r = await ctx.store.settle({ ...t, conditions }, () => ctx.stopping);
-    if (r.kind === "applied") {
-      absorb(ctx.replica, t.ops, r.rev);
-      return true;
-    }
-    await refresh(
-      ctx,
-      conditions.map((c) => c.key),
-    );
-    return false;
-  }
-
   /** Named by this term of leadership: no two terms have the same revision, no term a number. */
   nextName(): string {
     return `${this.ctx.replica.leader?.rev}-${++this.#names}`;
--- a/src/coordination/fleet/rentals.ts
+++ b/src/coordination/fleet/rentals.ts
@@ -1,15 +1,8 @@
+import { ABSENT, type MachineId, type Mono, mono, type Revision, shardId } from "@umberfold/ids";
 import { MAX_RENT, parseRented, rentBody } from "../../protocol/cloud.js";
-import {
-  ABSENT,
-  type MachineId,
-  type Mono,
-  mono,
-  type Revision,
-  shardId,
-} from "../../protocol/ids.js";
 import { offerKey, type Rent } from "../../scheduling/fleet.js";
 import { keys, type RentalIntent, rentalIntentValue } from "../../storage/records.js";
-import type { Versioned } from "../../storage/replica.js";
+import type { Versioned } from "../../storage/versioned.js";
 import { steadyNow, timeOfDay } from "../../transport/clock.js";
 import type { Context } from "../context.js";
 import type { Cloud, CloudAnswer } from "./cloud.js";
--- a/src/coordination/fleet/returns.ts
+++ b/src/coordination/fleet/returns.ts
@@ -1,5 +1,5 @@
+import { ABSENT, type MachineId } from "@umberfold/ids";
 import { MAX_RETURN, returnBody } from "../../protocol/cloud.js";
-import { ABSENT, type MachineId } from "../../protocol/ids.js";
 import { goneValue, keys } from "../../storage/records.js";
 import { timeOfDay } from "../../transport/clock.js";
 import type { Context } from "../context.js";
--- a/src/coordination/fleet/unknown-machines.ts
+++ b/src/coordination/fleet/unknown-machines.ts
@@ -1,4 +1,3 @@
-import { type ListedMachine, listPath, parseMachineList } from "../../protocol/cloud.js";
 import {
   type MachineId,
   type Mono,
@@ -6,7 +5,8 @@
   type Revision,
   type ShardId,
   shardId,
-} from "../../protocol/ids.js";
+} from "@umberfold/ids";
+import { type ListedMachine, listPath, parseMachineList } from "../../protocol/cloud.js";
 import { parseReport, type Report } from "../../protocol/workers.js";
 import type { Calls } from "../../transport/client.js";
 import { steadyNow, timeOfDay } from "../../transport/clock.js";
--- a/src/coordination/health.ts
+++ b/src/coordination/health.ts
@@ -1,4 +1,4 @@
-import type { Mono } from "../protocol/ids.js";
+import type { Mono } from "@umberfold/ids";
 
 /**
  * How this controller stands with the state service.
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,4 +1,4 @@
-import type { JobId } from "../protocol/ids.js";
+import type { JobId } from "@umberfold/ids";
 import type { Report } from "../protocol/workers.js";
 import type { Calls } from "../transport/client.js";
 import type { Context } from "./context.js";
--- /dev/null
+++ b/src/coordination/load-spread/team-loads.ts
@@ -0,0 +1,132 @@
+import type { ShardId, TeamName } from "@umberfold/ids";
+import type { OwnerLoad, ShardLoad, TeamLoad } from "@umberfold/load-spread";
+import { type Share, share, WHOLE } from "@umberfold/spans";
+import type { Team } from "../../cli/settings.js";
+import type { Resources } from "../../protocol/jobs.js";
+import type { JobIndex } from "../../storage/job-index.js";
+import { waitingCount } from "../../storage/records.js";
+import type { Context } from "../context.js";
+
+/** Guards against rounding a part of a quota up by a whole millionth. */
+const ROUNDING = 1e-6;
+/** Waiting tasks beyond this say nothing more about an owner's load. */
+const MOST_WAITING_UNITS = 1000;
+
+const partOf = (amount: number, most: number): number =>
+  most === Number.POSITIVE_INFINITY || most <= 0 ? 0 : amount / most;
+
+/** What part of a team's quota these resources take; 0 where the team has no limit. */
+export const quotaPart = (team: Team, needs: Pick<Resources, "cpus" | "gpus">): number =>
+  Math.max(partOf(needs.cpus, team.cpusMax), partOf(needs.gpus, team.gpusMax));
+
+/** Rounded up, so that what is in use is never taken for less. */
+export const quotaShare = (part: number): Share =>
+  share(Math.ceil(Math.max(0, part) * WHOLE - ROUNDING));
+
+interface Sums {
+  jobs: number;
+  open: number;
+  openPart: number;
+  waiting: number;
+  waitingPart: number;
+  largestPart: number;
+  oldest: number;
+}
+
+const newSums = (): Sums => ({
+  jobs: 0,
+  open: 0,
+  openPart: 0,
+  waiting: 0,
+  waitingPart: 0,
+  largestPart: 0,
+  oldest: Number.POSITIVE_INFINITY,
+});
+
+/** What each team has in one shard. */
+const sumsOfShard = (
+  index: JobIndex,
+  teams: ReadonlyMap<TeamName, Team>,
+): ReadonlyMap<TeamName, Sums> => {
+  const out = new Map<TeamName, Sums>();
+  const of = (team: TeamName): Sums => {
+    const sums = out.get(team) ?? newSums();
+    out.set(team, sums);
+    return sums;
+  };
+  for (const [team, jobs] of index.liveJobs()) of(team).jobs = jobs;
+  for (const [name, counts] of index.openByTeam()) {
+    const team = teams.get(name);
+    const sums = of(name);
+    for (const { needs, count } of counts.values()) {
+      sums.open += count;
+      if (team !== undefined) sums.openPart += count * quotaPart(team, needs);
+    }
+  }
+  for (const job of index.waiting.values()) {
+    const team = teams.get(job.spec.team);
+    if (team === undefined) continue;
+    const sums = of(job.spec.team);
+    const waiting = waitingCount(job);
+    const part = quotaPart(team, job.spec.needs);
+    sums.waiting += waiting;
+    sums.waitingPart += waiting * part;
+    sums.largestPart = Math.max(sums.largestPart, part);
+    sums.oldest = Math.min(sums.oldest, job.acceptedAt);
+  }
+  return out;
+};
+
+const shardLoad = (shard: ShardId, sums: Sums): ShardLoad => ({
+  shard,
+  jobs: sums.jobs,
+  open: sums.open,
+  waiting: sums.waiting,
+  used: quotaShare(sums.openPart),
+  demand: quotaShare(sums.openPart + sums.waitingPart),
+  largest: quotaShare(sums.largestPart),
+  oldest: sums.oldest,
+});
+
+/** What each team of the settings has, over all shards; reads the pages of all of them. */
+export const teamLoads = ({ replica, teams }: Context): readonly TeamLoad[] => {
+  const shards = new Map<TeamName, Map<ShardId, ShardLoad>>();
+  for (const [shard, { index }] of replica.works())
+    for (const [team, sums] of sumsOfShard(index, teams)) {
+      const loads = shards.get(team) ?? new Map<ShardId, ShardLoad>();
+      shards.set(team, loads);
+      loads.set(shard, shardLoad(shard, sums));
+    }
+  const out: TeamLoad[] = [];
+  for (const team of teams.keys()) {
+    const home = replica.teams?.value.get(team);
+    if (home === undefined) continue;
+    const span = replica.spans.records.get(team)?.value;
+    out.push({ team, home, span, shards: shards.get(team) ?? new Map() });
+  }
+  return out;
+};
+
+/** What each owner has to do: machines, open attempts and waiting tasks of its shards. */
+export const ownerLoads = ({ replica }: Context): readonly OwnerLoad[] => {
+  const machines = new Map<ShardId, number>();
+  for (const m of replica.machines.values())
+    machines.set(m.shard, (machines.get(m.shard) ?? 0) + 1);
+  const out = new Map<string, { owner: string; shards: ShardId[]; units: number }>();
+  for (const label of replica.members.keys())
+    out.set(label, { owner: label, shards: [], units: 0 });
+  for (const [shard, record] of replica.shards) {
+    const load = out.get(record.value.label);
+    // A shard whose owner is no member waits to be taken over.
+    if (load === undefined) continue;
+    const { index } = replica.work(shard);
+    let open = 0;
+    for (const counts of index.openByTeam().values())
+      for (const { count } of counts.values()) open += count;
+    let waiting = 0;
+    for (const job of index.waiting.values()) waiting += waitingCount(job);
+    load.shards.push(shard);
+    load.units += (machines.get(shard) ?? 0) + open + Math.min(waiting, MOST_WAITING_UNITS);
+  }
+  return [...out.values()].filter((o) => o.shards.length > 0);
+};
--- a/src/coordination/loop-lag.ts
+++ b/src/coordination/loop-lag.ts
@@ -1,4 +1,4 @@
-import { type Mono, mono } from "../protocol/ids.js";
+import { type Mono, mono } from "@umberfold/ids";
 
 /** What was late this long ago counts half. */
 const HALF_LIFE_MS = 2000;
--- a/src/coordination/machine-records.ts
+++ b/src/coordination/machine-records.ts
@@ -1,7 +1,7 @@
-import type { MachineId, Mono, Revision } from "../protocol/ids.js";
+import type { MachineId, Mono, Revision } from "@umberfold/ids";
+import type { FleetPage } from "../storage/fleet-index.js";
 import { MACHINE_BYTES } from "../storage/pages.js";
 import { keys, type MachineRecord } from "../storage/records.js";
-import type { FleetPage } from "../storage/replica.js";
 import { pageLimit } from "./batch.js";
 import type { ShardRound } from "./closing.js";
 import { inTheWay, needsBump, type Session, worthBump } from "./session.js";
--- a/src/coordination/machine-silence.ts
+++ b/src/coordination/machine-silence.ts
@@ -1,4 +1,4 @@
-import type { Mono } from "../protocol/ids.js";
+import type { Mono } from "@umberfold/ids";
 import type { MachineNote } from "./notes.js";
 
 /** Calls in a row without an answer that make a machine silent, or unreachable though it reports. */
--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -6,15 +6,10 @@
   mono,
   type ShardId,
   shardId,
-} from "../protocol/ids.js";
+} from "@umberfold/ids";
 import type { Txn } from "../protocol/store.js";
-import {
-  type ControllerId,
-  controllerIdValue,
-  keys,
-  sameController,
-  teamsValue,
-} from "../storage/records.js";
+import { teamsValue } from "../storage/cluster-records.js";
+import { type ControllerId, controllerIdValue, keys, sameController } from "../storage/records.js";
 import { steadyNow } from "../transport/clock.js";
 import { absorb, type Context, refresh } from "./context.js";
 import { HEALTHY, type Health, type Standing, stepHealth } from "./health.js";
--- a/src/coordination/notes.ts
+++ b/src/coordination/notes.ts
@@ -1,4 +1,4 @@
-import { type JobId, type MachineId, type Mono, mono, type ShardId } from "../protocol/ids.js";
+import { type JobId, type MachineId, type Mono, mono, type ShardId } from "@umberfold/ids";
 
 /**
  * What a owner remembers beside the records. All of it may be lost with the process: it steers
--- a/src/coordination/pause-detector.ts
+++ b/src/coordination/pause-detector.ts
@@ -1,4 +1,4 @@
-import { type Mono, mono } from "../protocol/ids.js";
+import { type Mono, mono } from "@umberfold/ids";
 
 /**
  * Notices that this process stood still, or was starved for as long: its clocks ran on, and what
--- a/src/coordination/placement-round.ts
+++ b/src/coordination/placement-round.ts
@@ -7,7 +7,8 @@
   type TaskId,
   type TeamName,
   taskId,
-} from "../protocol/ids.js";
+} from "@umberfold/ids";
+import type { Team } from "../cli/settings.js";
 import type { JobSpec, Resources } from "../protocol/jobs.js";
 import { hurryS, targetsOf } from "../scheduling/objectives.js";
 import { type Queued, queueOrder, type Waiting } from "../scheduling/order.js";
@@ -26,6 +27,7 @@
 import { timeOfDay } from "../transport/clock.js";
 import { pageLimit } from "./batch.js";
 import type { ShardRound } from "./closing.js";
+import { fairQueue, type QueueStep } from "./fair-queue.js";
 import { placesOf, zoneCounts } from "./places.js";
 import { PreemptionRound } from "./preemption-round.js";
 import type { ShardState } from "./shard-state.js";
@@ -65,6 +67,8 @@
   readonly #preemption: PreemptionRound;
   readonly #selectors = new Map<string, PlaceSelector>();
   readonly #cached = new Map<string, boolean>();
+  /** Teams with the limits and guarantees that hold for this shard. */
+  readonly #teams: ReadonlyMap<TeamName, Team>;
 
   constructor(
     private readonly owned: ShardState,
@@ -72,8 +76,9 @@
     edited: ReadonlySet<MachineId>,
   ) {
     const { index } = owned.ctx.replica.work(round.shard);
+    this.#teams = owned.ctx.quotas.teamsOf(round.shard);
     this.#places = placesOf(owned, round.shard, round.closed, edited);
-    this.#withinGuarantee = new Set(index.withinGuarantee(owned.ctx.teams.values()));
+    this.#withinGuarantee = new Set(index.withinGuarantee(this.#teams.values()));
     this.#preemption = new PreemptionRound(owned, round, this.#withinGuarantee, this.#places);
   }
 
@@ -85,7 +90,9 @@
   run(): void {
     if (this.#places.size === 0) return;
     const use = this.#teamUse();
-    for (const queued of this.#queue()) if (!this.#placeJob(queued, use)) return;
+    const fairTurns = this.owned.ctx.loadSpread?.fairTurns;
+    for (const step of fairQueue(this.#queue(), fairTurns, use, this.#places.values()))
+      if (!this.#placeJob(step, use)) return;
   }
 
   #queue(): readonly Queued[] {
@@ -166,11 +173,15 @@
   }
 
   /** False if the batch is full. */
-  #placeJob(queued: Queued, use: Map<TeamName, Resources>): boolean {
+  #placeJob(step: QueueStep, use: Map<TeamName, Resources>): boolean {
     const { ctx } = this.owned;
-    const { job, id } = queued;
+    const { id } = step;
+    // It may have had a turn in this round already.
+    const job = this.round.drafts.get(id) ?? step.job;
+    if (waitingCount(job) === 0) return true;
+    const queued: Queued = { ...step, job };
     const { spec } = job;
-    const team = ctx.teams.get(spec.team);
+    const team = this.#teams.get(spec.team);
     const accepted = ctx.replica.accepted.get(id);
     if (team === undefined || accepted === undefined) return true;
     const turn = this.#turn(queued);
@@ -181,7 +192,9 @@
     let next = job.nextAttempt;
     let used = use.get(spec.team) ?? NOTHING;
     const undo: (() => void)[] = [];
+    const mostStarts = step.mostStarts ?? Number.POSITIVE_INFINITY;
     for (const index of rangesMissing(job.done, spec.tasks, taken)) {
+      if (turn.starts.length >= mostStarts) break;
       const after = plus(used, spec.needs);
       if (after.cpus > team.cpusMax + LIMIT_TOLERANCE) break;
       if (after.gpus > team.gpusMax + LIMIT_TOLERANCE) break;
@@ -220,7 +233,9 @@
   #write(id: JobId, rev: Revision, draft: LiveJob): boolean {
     const { batch, shard, drafts } = this.round;
     const { done, open, nextAttempt } = draft;
+    const { quotas } = this.owned.ctx;
     if (!batch.requireJob(id, rev)) return false;
+    if (quotas.divided && !batch.requireSpan(draft.spec.team)) return false;
     if (!batch.putJob(shard, id, { done, open, nextAttempt })) return false;
     drafts.set(id, draft);
     return true;
--- a/src/coordination/places.ts
+++ b/src/coordination/places.ts
@@ -1,4 +1,4 @@
-import { type MachineId, type ShardId, splitTask, type TaskId } from "../protocol/ids.js";
+import { type MachineId, type ShardId, splitTask, type TaskId } from "@umberfold/ids";
 import type { Resources } from "../protocol/jobs.js";
 import { contenders, distinctNeeds, occupy, type Place } from "../scheduling/placement.js";
 import { ENDLESS, lesser, NOTHING, plus } from "../scheduling/resources.js";
--- a/src/coordination/preemption-round.ts
+++ b/src/coordination/preemption-round.ts
@@ -1,4 +1,4 @@
-import type { JobId, MachineId, TaskId } from "../protocol/ids.js";
+import type { JobId, MachineId, TaskId } from "@umberfold/ids";
 import { type JobSpec, rankOrder } from "../protocol/jobs.js";
 import { slackS, targetsOf } from "../scheduling/objectives.js";
 import type { Queued } from "../scheduling/order.js";
--- /dev/null
+++ b/src/coordination/quotas.ts
@@ -0,0 +1,59 @@
+import type { ShardId, TeamName } from "@umberfold/ids";
+import { shareOf, WHOLE } from "@umberfold/spans";
+import type { Team } from "../cli/settings.js";
+import type { Replica } from "../storage/replica.js";
+
+const scaled = (most: number, part: number): number =>
+  most === Number.POSITIVE_INFINITY ? most : most * part;
+
+/**
+ * Limits and guarantees of teams as they hold for one shard. A team without a span has all of its
+ * quota in its home shard and nothing elsewhere. One whose span can't be read has nothing anywhere:
+ * others may hold any part of it.
+ */
+export class Quotas {
+  #version = -1;
+  readonly #byShard = new Map<ShardId, ReadonlyMap<TeamName, Team>>();
+
+  constructor(
+    private readonly replica: Replica,
+    private readonly teams: ReadonlyMap<TeamName, Team>,
+  ) {}
+
+  /** Whether any team has anything outside its home shard. */
+  get divided(): boolean {
+    return this.replica.spans.records.size > 0 || this.replica.spans.placedJobs > 0;
+  }
+
+  teamsOf(shard: ShardId): ReadonlyMap<TeamName, Team> {
+    if (!this.divided) return this.teams;
+    if (this.#version !== this.replica.spans.version) {
+      this.#version = this.replica.spans.version;
+      this.#byShard.clear();
+    }
+    const known = this.#byShard.get(shard);
+    if (known !== undefined) return known;
+    const out = new Map<TeamName, Team>();
+    for (const [name, team] of this.teams) {
+      const part = this.#partOf(name, shard);
+      out.set(name, {
+        name,
+        cpus: team.cpus * part,
+        gpus: team.gpus * part,
+        cpusMax: scaled(team.cpusMax, part),
+        gpusMax: scaled(team.gpusMax, part),
+      });
+    }
+    this.#byShard.set(shard, out);
+    return out;
+  }
+
+  #partOf(team: TeamName, shard: ShardId): number {
+    const home = this.replica.teams?.value.get(team);
+    const record = this.replica.spans.records.get(team);
+    if (record === undefined) return home === shard ? 1 : 0;
+    const span = record.value;
+    // A span of another home was written by somebody else: it says nothing of this team.
+    return span === undefined || span.home !== home ? 0 : shareOf(span, shard) / WHOLE;
+  }
+}
--- a/src/coordination/session.ts
+++ b/src/coordination/session.ts
@@ -1,4 +1,4 @@
-import { type AttemptNo, attemptKey, type Mono, type TaskId, type Token } from "../protocol/ids.js";
+import { type AttemptNo, attemptKey, type Mono, type TaskId, type Token } from "@umberfold/ids";
 import type { Order, Report, TaskReport } from "../protocol/workers.js";
 
 /**
--- a/src/coordination/shard-owner.ts
+++ b/src/coordination/shard-owner.ts
@@ -1,4 +1,4 @@
-import { type MachineId, type Mono, mono, revision } from "../protocol/ids.js";
+import { type MachineId, type Mono, mono, revision } from "@umberfold/ids";
 import type { MoveRequest } from "../protocol/peer.js";
 import type { Txn } from "../protocol/store.js";
 import type { Report } from "../protocol/workers.js";
@@ -11,6 +11,7 @@
 import { absorb, type Context, refresh } from "./context.js";
 import { drainRequested, handleSpotNotices } from "./evictions.js";
 import { MachineRecords } from "./machine-records.js";
+import { MachineSweep } from "./machine-sweep.js";
 import type { Membership } from "./membership.js";
 import { PlacementRound } from "./placement-round.js";
 import { ShardState } from "./shard-state.js";
@@ -19,9 +20,6 @@
 
 /** How long a request of the leader's stands. */
 const MOVE_MS = 10_000;
-/** How often, and how many machines at a time, are looked at though nothing was heard of them. */
-const SWEEP_MS = 1000;
-const SWEEP_MOST = 128;
 /** How long ends of tasks may wait for company, if nothing else is to be written. */
 const LAZY_MS = 700;
 /** A round is decided once this many changes may be written; a larger one is paid off after. */
@@ -45,9 +43,7 @@
   readonly #heartbeats = { accepted: 0, redirected: 0, refused: 0 };
   #committing = false;
   #swarmAt: Mono = steadyNow();
-  /** Machines that have yet to be looked at in turn. */
-  #sweep: MachineId[] = [];
-  #sweptAt: Mono = mono(Number.NEGATIVE_INFINITY);
+  readonly #sweep = new MachineSweep();
   #turn = 0;
   #lazySince: Mono | undefined;
   /** Nothing is decided before the watch has told everything up to here. */
@@ -115,7 +111,7 @@
 
   async round(): Promise<Next> {
     this.detectPause();
-    if (this.#committing || !this.ctx.synced || !this.membership.entitled()) return "idle";
+    if (!this.#maySettle()) return "idle";
     this.#committing = true;
     try {
       return await this.#round();
@@ -125,6 +121,28 @@
     }
   }
 
+  /**
+   * Writes something of the shards owned here while no round is in flight, so that what the records
+   * show as open is all that is. False if it has to wait, or nothing was written.
+   */
+  async writeBetweenRounds(decide: () => Txn | undefined): Promise<boolean> {
+    if (!this.#maySettle() || this.ctx.replica.position < this.#catchUp) return false;
+    const txn = decide();
+    if (txn === undefined || !this.ctx.store.mayWriteBatch(txn.ops.length, txn.ops.length))
+      return false;
+    this.#committing = true;
+    try {
+      return await this.#commit(txn);
+    } finally {
+      this.#committing = false;
+      this.owned.wake();
+    }
+  }
+
+  #maySettle(): boolean {
+    return !this.#committing && this.ctx.synced && this.membership.entitled();
+  }
+
   async #round(): Promise<Next> {
     const { ctx, owned } = this;
     const now = steadyNow();
@@ -232,7 +250,7 @@
     const call = new Set<MachineId>();
     const closedKeys: string[] = [];
     this.#disturbRewritten();
-    this.#disturbInTurn(now);
+    this.#sweep.disturb(owned, now);
     const looked = new Set(owned.disturbed);
     owned.disturbed.clear();
     // Each has its turn at being first, for the batch may be full before the last.
@@ -250,18 +268,6 @@
     return { batch, call, closedKeys, looked };
   }
 
-  /**
-   * Every machine is looked at now and then, whether or not anything was heard of it; in a large
-   * shard a part of them at a time.
-   */
-  #disturbInTurn(now: Mono): void {
-    if (now - this.#sweptAt < SWEEP_MS) return;
-    this.#sweptAt = now;
-    const { sessions, disturbed } = this.owned;
-    if (this.#sweep.length === 0) this.#sweep = [...sessions.keys()];
-    for (const id of this.#sweep.splice(0, SWEEP_MOST)) if (sessions.has(id)) disturbed.add(id);
-  }
-
   /** Machines with attempts of jobs that were cancelled, and those proved gone, are looked at now. */
   #disturbRewritten(): void {
     const { replica } = this.ctx;
--- a/src/coordination/shard-state.ts
+++ b/src/coordination/shard-state.ts
@@ -8,7 +8,7 @@
   type TaskId,
   type Token,
   token,
-} from "../protocol/ids.js";
+} from "@umberfold/ids";
 import type { JobSpec } from "../protocol/jobs.js";
 import type { LiveJob, MachineRecord } from "../storage/records.js";
 import { steadyNow } from "../transport/clock.js";
--- a/src/coordination/shards.ts
+++ b/src/coordination/shards.ts
@@ -1,4 +1,4 @@
-import { type ControllerLabel, type ShardId, shardId, type TeamName } from "../protocol/ids.js";
+import { type ControllerLabel, type ShardId, shardId, type TeamName } from "@umberfold/ids";
 import type { ControllerId } from "../storage/records.js";
 
 const byLabel = (a: string, b: string): number => (a < b ? -1 : a > b ? 1 : 0);
--- a/src/coordination/swarm-period.ts
+++ b/src/coordination/swarm-period.ts
@@ -1,4 +1,4 @@
-import type { MachineId, Mono, ShardId } from "../protocol/ids.js";
+import type { MachineId, Mono, ShardId } from "@umberfold/ids";
 import { bindsZones, type Place, permitted, placementGroup } from "../scheduling/placement.js";
 import { fits, minus } from "../scheduling/resources.js";
 import { type SwarmMachine, type SwarmTask, swarmRound } from "../scheduling/swarm.js";
--- a/src/coordination/worker-channel.ts
+++ b/src/coordination/worker-channel.ts
@@ -1,4 +1,4 @@
-import { attemptKey, type MachineId, type Mono, mono, type TaskId } from "../protocol/ids.js";
+import { attemptKey, type MachineId, type Mono, mono, type TaskId } from "@umberfold/ids";
 import {
   heartbeatAnswer,
   type Order,
--- a/src/protocol/cloud.ts
+++ b/src/protocol/cloud.ts
@@ -1,5 +1,5 @@
+import { type MachineId, machineId } from "@umberfold/ids";
 import { amount, type Fields, isMap, list, text } from "./cbor.js";
-import { type MachineId, machineId } from "./ids.js";
 import type { Resources } from "./jobs.js";
 
 export interface MachineType {
--- a/src/protocol/jobs.ts
+++ b/src/protocol/jobs.ts
@@ -1,5 +1,5 @@
+import { type JobId, jobId, type TeamName, teamName } from "@umberfold/ids";
 import { amount, count, type Fields, isMap, list, text } from "./cbor.js";
-import { type JobId, jobId, type TeamName, teamName } from "./ids.js";
 
 export const RANKS = ["production", "high", "normal", "best_effort"] as const;
 export type Rank = (typeof RANKS)[number];
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -1,4 +1,3 @@
-import protobuf from "protobufjs/light.js";
 import {
   type JobId,
   jobId,
@@ -10,7 +9,8 @@
   shardId,
   type Wall,
   wall,
-} from "./ids.js";
+} from "@umberfold/ids";
+import protobuf from "protobufjs/light.js";
 import { isJobId } from "./jobs.js";
 
 /** `drain`: stop what of lower rank runs there first. */
--- a/src/protocol/store.ts
+++ b/src/protocol/store.ts
@@ -1,5 +1,5 @@
+import { type LeaseId, leaseId, type Revision, revision } from "@umberfold/ids";
 import { count, type Fields, isMap, list, text, wide } from "./cbor.js";
-import { type LeaseId, leaseId, type Revision, revision } from "./ids.js";
 
 export interface Item {
   readonly key: string;
--- a/src/protocol/workers.ts
+++ b/src/protocol/workers.ts
@@ -1,4 +1,3 @@
-import { amount, count, type Fields, isMap, list, text, wide } from "./cbor.js";
 import {
   type AttemptNo,
   attemptNo,
@@ -8,7 +7,8 @@
   type TaskId,
   type Token,
   token,
-} from "./ids.js";
+} from "@umberfold/ids";
+import { amount, count, type Fields, isMap, list, text, wide } from "./cbor.js";
 
 /** `other`: a stage of a later version; the task is there, which is what counts. */
 export type TaskStage = "fetching" | "running" | "saving" | "ended" | "other";
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -1,6 +1,6 @@
+import type { JobId, ShardId, TeamName, Wall } from "@umberfold/ids";
 import type { Objective, Team } from "../cli/settings.js";
 import type { MachineType } from "../protocol/cloud.js";
-import type { JobId, ShardId, TeamName, Wall } from "../protocol/ids.js";
 import { type JobSpec, type Resources, rankOrder } from "../protocol/jobs.js";
 import { type LiveJob, waitingCount } from "../storage/records.js";
 import { type DemandGroup, follow } from "./fleet.js";
@@ -13,7 +13,7 @@
 
 export interface DemandInput {
   readonly jobs: Iterable<readonly [JobId, LiveJob]>;
-  readonly shardOf: ReadonlyMap<TeamName, ShardId>;
+  readonly shardOf: (id: JobId) => ShardId | undefined;
   readonly teams: ReadonlyMap<TeamName, Team>;
   /** Jobs within their team's guarantee. */
   readonly withinGuarantee: ReadonlySet<JobId>;
@@ -124,7 +124,7 @@
   add(id: JobId, job: LiveJob): void {
     const { input } = this;
     const { spec, open } = job;
-    const shard = input.shardOf.get(spec.team);
+    const shard = input.shardOf(id);
     if (shard === undefined) return;
     const sum = this.#group(spec);
     const waiting = this.#waitingWithin(job);
--- a/src/scheduling/fleet.ts
+++ b/src/scheduling/fleet.ts
@@ -1,5 +1,5 @@
+import type { MachineId, ShardId } from "@umberfold/ids";
 import type { MachineType } from "../protocol/cloud.js";
-import type { MachineId, ShardId } from "../protocol/ids.js";
 import type { Resources } from "../protocol/jobs.js";
 import type { MoveRequest } from "../protocol/peer.js";
 import { contenders, distinctNeeds } from "./placement.js";
--- a/src/scheduling/order.ts
+++ b/src/scheduling/order.ts
@@ -1,5 +1,5 @@
+import type { JobId } from "@umberfold/ids";
 import type { Objective } from "../cli/settings.js";
-import type { JobId } from "../protocol/ids.js";
 import { rankOrder } from "../protocol/jobs.js";
 import { type LiveJob, waitingCount } from "../storage/records.js";
 import { slackS, targetsOf } from "./objectives.js";
@@ -19,13 +19,15 @@
 export interface Queued extends Waiting {
   /** Seconds until its next task must start for the next objective that can still be met. */
   readonly slack: number;
+  /** It has waited so long without a start that it goes before all others. */
+  readonly overdue: boolean;
 }
 
 /**
  * Nothing is passed over for ever: a job that has waited this long without one start goes before
  * all others, or a stream of small urgent ones would hold the largest arrays out.
  */
-const overdue = (q: Waiting, overdueS: number): boolean =>
+const isOverdue = (q: Waiting, overdueS: number): boolean =>
   q.ageS > overdueS && q.job.nextAttempt === 1;
 
 /** The overdue first, then work within a guarantee, then rank, then the least slack, then the fewest tasks left, then age. */
@@ -36,19 +38,19 @@
 ): readonly Queued[] => {
   const keyed = waiting.map((q) => ({
     q,
-    late: overdue(q, overdueS),
+    overdue: isOverdue(q, overdueS),
     rank: rankOrder(q.job.spec.rank),
     slack: slackS(targetsOf(q.job.spec, objectives, q.withinGuarantee), q.ageS + q.leadS, q.runS),
     left: waitingCount(q.job),
   }));
   keyed.sort(
     (a, b) =>
-      Number(b.late) - Number(a.late) ||
+      Number(b.overdue) - Number(a.overdue) ||
       Number(b.q.withinGuarantee) - Number(a.q.withinGuarantee) ||
       a.rank - b.rank ||
       (a.slack === b.slack ? 0 : a.slack - b.slack) ||
       a.left - b.left ||
       a.q.job.acceptedAt - b.q.job.acceptedAt,
   );
-  return keyed.map((k) => ({ ...k.q, slack: k.slack }));
+  return keyed.map(({ q, slack, overdue }) => ({ ...q, slack, overdue }));
 };
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -1,4 +1,4 @@
-import type { MachineId } from "../protocol/ids.js";
+import type { MachineId } from "@umberfold/ids";
 import type { JobSpec, Resources } from "../protocol/jobs.js";
 import { fits, fitsBeside, lesser, plus } from "./resources.js";
 import { pheromone } from "./swarm.js";
--- a/src/scheduling/preemption.ts
+++ b/src/scheduling/preemption.ts
@@ -1,4 +1,4 @@
-import type { MachineId, TaskId } from "../protocol/ids.js";
+import type { MachineId, TaskId } from "@umberfold/ids";
 import type { Resources } from "../protocol/jobs.js";
 import { fits, minus, plus } from "./resources.js";
 
--- a/src/scheduling/shard-assigner.ts
+++ b/src/scheduling/shard-assigner.ts
@@ -1,4 +1,4 @@
-import { type ShardId, shardId } from "../protocol/ids.js";
+import { type ShardId, shardId } from "@umberfold/ids";
 import type { FleetInput } from "./fleet.js";
 
 /** New machines go to the shard that lacks most, and else to the one that has least. */
--- a/src/scheduling/swarm.ts
+++ b/src/scheduling/swarm.ts
@@ -1,4 +1,4 @@
-import type { MachineId, TaskId } from "../protocol/ids.js";
+import type { MachineId, TaskId } from "@umberfold/ids";
 import type { Resources } from "../protocol/jobs.js";
 import { fits, KINDS, minus, NOTHING, plus } from "./resources.js";
 
--- a/src/service/controller.ts
+++ b/src/service/controller.ts
@@ -1,13 +1,14 @@
 import { randomUUID } from "node:crypto";
 import type http from "node:http";
+import { incarnation } from "@umberfold/ids";
 import * as Effect from "effect/Effect";
 import type * as Scope from "effect/Scope";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { Operators } from "../cli/operators.js";
+import type { PackageSettings } from "../cli/packages.js";
 import type { Settings } from "../cli/settings.js";
 import type { Logger } from "../observability/log.js";
-import { incarnation } from "../protocol/ids.js";
 import { Caller } from "../transport/client.js";
 import { makeServer } from "../transport/server.js";
 import { socketParts } from "../transport/sockets.js";
@@ -33,6 +34,7 @@
 export const runController = (
   settings: Settings,
   operators: Operators,
+  packages: PackageSettings,
   log: Logger,
 ): Effect.Effect<never, Error, Scope.Scope> =>
   Effect.gen(function* () {
@@ -50,7 +52,7 @@
     };
     const node = yield* Effect.acquireRelease(
       Effect.sync(() =>
-        makeNode(settings, operators, log, connections, incarnation(seed), () =>
+        makeNode(settings, operators, packages, log, connections, incarnation(seed), () =>
           uniformFloat64(rng),
         ),
       ),
--- a/src/service/users.ts
+++ b/src/service/users.ts
@@ -1,6 +1,6 @@
+import { ABSENT, type JobId, jobId } from "@umberfold/ids";
 import { absorb, type Context } from "../coordination/context.js";
 import type { Membership } from "../coordination/membership.js";
-import { ABSENT, type JobId, jobId } from "../protocol/ids.js";
 import {
   isJobId,
   type JobSpec,
@@ -139,7 +139,8 @@
   async #accept(spec: JobSpec): Promise<Answer> {
     const { ctx } = this;
     const key = keys.live(spec.id);
-    const value = liveValue(newJob(spec, timeOfDay()));
+    const shard = ctx.loadSpread?.placeJob(spec) ?? null;
+    const value = liveValue(newJob(spec, timeOfDay(), shard));
     const ops = [{ kind: "put", key, value }] as const;
     const r = await this.#writes.commit({
       conditions: [
--- a/src/storage/budget.ts
+++ b/src/storage/budget.ts
@@ -1,4 +1,4 @@
-import type { Mono } from "../protocol/ids.js";
+import type { Mono } from "@umberfold/ids";
 
 /** A token bucket, as the state service and the cloud count. */
 export class Budget {
--- a/src/storage/job-index.ts
+++ b/src/storage/job-index.ts
@@ -1,4 +1,4 @@
-import type { JobId, TeamName } from "../protocol/ids.js";
+import type { JobId, TeamName } from "@umberfold/ids";
 import type { JobSpec, Resources } from "../protocol/jobs.js";
 import { doneCount, type LiveJob, waitingCount } from "./records.js";
 
@@ -9,7 +9,7 @@
   readonly gpus: number;
 }
 
-interface Counted {
+export interface CountedNeeds {
   readonly needs: Resources;
   count: number;
 }
@@ -25,7 +25,7 @@
 
 const needsKey = (n: Resources): string => `${n.cpus}|${n.gpus}|${n.ramGb}`;
 
-const addCount = (map: Map<string, Counted>, needs: Resources, by: number): void => {
+const addCount = (map: Map<string, CountedNeeds>, needs: Resources, by: number): void => {
   const key = needsKey(needs);
   const entry = map.get(key);
   if (entry === undefined) map.set(key, { needs, count: by });
@@ -46,8 +46,8 @@
   readonly cancelled = new Map<JobId, LiveJob>();
   /** Jobs whose tasks have all completed and that have no final record yet. */
   readonly complete = new Map<JobId, LiveJob>();
-  readonly #needs = new Map<string, Counted>();
-  readonly #openByTeam = new Map<TeamName, Map<string, Counted>>();
+  readonly #needs = new Map<string, CountedNeeds>();
+  readonly #openByTeam = new Map<TeamName, Map<string, CountedNeeds>>();
   /** Jobs that were not cancelled, in the order in which they were accepted. */
   readonly #order = new Map<TeamName, Ordered[]>();
 
@@ -78,6 +78,16 @@
     return out;
   }
 
+  /** What the open attempts of each team need, as counts of attempts with the same needs. */
+  openByTeam(): ReadonlyMap<TeamName, ReadonlyMap<string, Readonly<CountedNeeds>>> {
+    return this.#openByTeam;
+  }
+
+  /** How many jobs of each team were not cancelled. */
+  *liveJobs(): Iterable<readonly [TeamName, number]> {
+    for (const [team, rows] of this.#order) yield [team, rows.length];
+  }
+
   /**
    * Jobs within their team's guarantee: those that fit in it together with the team's earlier
    * unfinished jobs. Looks no further than the first job beyond it, for sums only grow.
@@ -128,7 +138,7 @@
     else this.complete.delete(id);
     if (before?.spec !== spec) addCount(this.#needs, spec.needs, 1);
     if (after.open.length > 0) {
-      const counts = this.#openByTeam.get(spec.team) ?? new Map<string, Counted>();
+      const counts = this.#openByTeam.get(spec.team) ?? new Map<string, CountedNeeds>();
       this.#openByTeam.set(spec.team, counts);
       addCount(counts, spec.needs, after.open.length);
     }
--- a/src/storage/job-reader.ts
+++ b/src/storage/job-reader.ts
@@ -1,4 +1,4 @@
-import { ABSENT, type JobId, type Mono, type Revision } from "../protocol/ids.js";
+import { ABSENT, type JobId, type Mono, type Revision } from "@umberfold/ids";
 import type { Condition } from "../protocol/store.js";
 import { sleep, steadyNow } from "../transport/clock.js";
 import { type Accepted, type FinalJob, keys, parseFinal, parseLive } from "./records.js";
--- a/src/storage/pages.ts
+++ b/src/storage/pages.ts
@@ -1,4 +1,3 @@
-import { amount, count, isMap, list, text } from "../protocol/cbor.js";
 import {
   attemptNo,
   type JobId,
@@ -8,7 +7,8 @@
   revision,
   type ShardId,
   wall,
-} from "../protocol/ids.js";
+} from "@umberfold/ids";
+import { amount, count, isMap, list, text } from "../protocol/cbor.js";
 import { isJobId } from "../protocol/jobs.js";
 import { parseRanges } from "./ranges.js";
 import type { MachineRecord, OpenAttempt, Progress } from "./records.js";
--- a/src/storage/records.ts
+++ b/src/storage/records.ts
@@ -1,5 +1,3 @@
-import { amount, count, isMap, list, text } from "../protocol/cbor.js";
-import type { MachineType } from "../protocol/cloud.js";
 import {
   type AttemptNo,
   type ControllerLabel,
@@ -16,7 +14,8 @@
   teamName,
   type Wall,
   wall,
-} from "../protocol/ids.js";
+} from "@umberfold/ids";
+import { amount, count, isMap, list, text } from "../protocol/cbor.js";
 import { type JobSpec, RANKS } from "../protocol/jobs.js";
 import { type Ranges, rangesCount } from "./ranges.js";
 
@@ -33,6 +32,7 @@
   rental: `${NOW}hire/`,
   gone: `${NOW}gone/`,
   live: `${NOW}live/`,
+  span: `${NOW}span/`,
 } as const;
 export const keys = {
   leader: `${NOW}leader`,
@@ -47,6 +47,8 @@
   gone: (name: string): string => PREFIX.gone + name,
   rental: (name: string): string => PREFIX.rental + name,
   live: (id: JobId): string => PREFIX.live + id,
+  /** The shards that a team spans; absent for most. A team's name may hold spaces, a key may not. */
+  span: (team: TeamName): string => PREFIX.span + encodeURIComponent(team),
   final: (id: JobId): string => `final/${id}`,
 } as const;
 
@@ -61,6 +63,19 @@
   return { kind: "other", name: key };
 };
 
+/** The shard of a page, by its name within its kind. */
+export const shardOfPage = (name: string): ShardId =>
+  shardId(Number(name.slice(0, name.indexOf("/"))));
+
+/** A foreign key's name may be no encoded one: it then stands for itself, which no team has. */
+export const teamOfSpan = (name: string): TeamName => {
+  try {
+    return teamName(decodeURIComponent(name));
+  } catch {
+    return teamName(name);
+  }
+};
+
 /** Who a record names: a label and the one process start under it. */
 export interface ControllerId {
   readonly label: ControllerLabel;
@@ -159,6 +174,8 @@
   readonly acceptedAt: Wall;
   /** When its user asked to cancel it, or null. */
   readonly cancelledAt: Wall | null;
+  /** The shard that it was placed in, for good, or null for its team's home shard. */
+  readonly shard: ShardId | null;
 }
 
 /**
@@ -176,10 +193,11 @@
 /** An accepted job that is not over. */
 export interface LiveJob extends Accepted, Progress {}
 
-export const newJob = (spec: JobSpec, at: Wall): LiveJob => ({
+export const newJob = (spec: JobSpec, at: Wall, shard: ShardId | null = null): LiveJob => ({
   spec,
   acceptedAt: at,
   cancelledAt: null,
+  shard,
   ...NO_PROGRESS,
 });
 
@@ -206,6 +224,7 @@
     d: s.deadlineS,
     a: j.acceptedAt,
     ca: j.cancelledAt,
+    ...(j.shard === null ? {} : { s: j.shard }),
   };
 };
 
@@ -215,6 +234,7 @@
   const tasks = count(v.n);
   const rank = RANKS.find((r) => r === v.r);
   const flags = count(v.f);
+  const shard = count(v.s);
   if (needs === undefined || tasks === undefined || rank === undefined) return undefined;
   if (flags === undefined) return undefined;
   return {
@@ -239,6 +259,7 @@
     },
     acceptedAt: wall(amount(v.a) ?? 0),
     cancelledAt: v.ca === undefined || v.ca === null ? null : wall(amount(v.ca) ?? 0),
+    shard: shard === undefined ? null : shardId(shard),
   };
 };
 
@@ -254,46 +275,3 @@
   if (v.g !== 1 && v.g !== 2) return undefined;
   return { stage: v.g === 1 ? "done" : "cancelled", done: count(v.n) ?? 0 };
 };
-
-export const typesValue = (types: readonly MachineType[]): unknown =>
-  types.map((t) => ({
-    l: t.name,
-    u: [t.capacity.cpus, t.capacity.gpus, t.capacity.ramGb],
-    c: t.cacheGb,
-    f: t.fetchGbPerS,
-    p: t.price,
-    s: t.spotPrice,
-    b: t.bootS,
-    z: t.zones,
-  }));
-
-export const parseTypesRecord = (v: unknown): readonly MachineType[] =>
-  (list(v) ?? []).flatMap((row) => {
-    if (!isMap(row)) return [];
-    const u = list(row.u)?.map(amount) ?? [];
-    return [
-      {
-        name: text(row.l) ?? "",
-        capacity: { cpus: u[0] ?? 0, gpus: u[1] ?? 0, ramGb: u[2] ?? 0 },
-        cacheGb: amount(row.c) ?? 0,
-        fetchGbPerS: amount(row.f) ?? 0,
-        price: amount(row.p) ?? 0,
-        spotPrice: amount(row.s) ?? 0,
-        bootS: amount(row.b) ?? 0,
-        zones: (list(row.z) ?? []).filter((z): z is string => typeof z === "string"),
-      },
-    ];
-  });
-
-export const teamsValue = (teams: ReadonlyMap<TeamName, ShardId>): unknown =>
-  Object.fromEntries(teams);
-
-export const parseTeams = (v: unknown): ReadonlyMap<TeamName, ShardId> => {
-  const out = new Map<TeamName, ShardId>();
-  if (!isMap(v)) return out;
-  for (const [name, n] of Object.entries(v)) {
-    const shard = count(n);
-    if (shard !== undefined) out.set(teamName(name), shardId(shard));
-  }
-  return out;
-};
--- a/src/storage/replica.ts
+++ b/src/storage/replica.ts
@@ -1,4 +1,3 @@
-import type { MachineType } from "../protocol/cloud.js";
 import {
   ABSENT,
   type ControllerLabel,
@@ -11,8 +10,11 @@
   type ShardId,
   shardId,
   type TeamName,
-} from "../protocol/ids.js";
+} from "@umberfold/ids";
+import type { MachineType } from "../protocol/cloud.js";
 import type { Change, Item } from "../protocol/store.js";
+import { parseTeams, parseTypesRecord } from "./cluster-records.js";
+import { FleetIndex, type FleetPage } from "./fleet-index.js";
 import { parseFleetPage } from "./pages.js";
 import {
   type Accepted,
@@ -25,31 +27,18 @@
   parseGone,
   parseLive,
   parseRentalIntent,
-  parseTeams,
-  parseTypesRecord,
   type RentalIntent,
+  shardOfPage,
 } from "./records.js";
 import { ShardJobs } from "./shard-jobs.js";
-
-export interface Versioned<T> {
-  readonly value: T;
-  readonly rev: Revision;
-}
-
-export interface FleetPage {
-  readonly shard: ShardId;
-  readonly rev: Revision;
-  readonly machines: ReadonlyMap<MachineId, MachineRecord>;
-}
+import { SpanIndex } from "./span-index.js";
+import type { Versioned } from "./versioned.js";
 
 /** What this controller knows of the state service's `now/` keys, kept up by the watch. */
 export class Replica {
   /** Accepted jobs that are not over. */
   readonly accepted = new Map<JobId, Versioned<Accepted>>();
-  /** Machines by id, and the key of the page that each stands in. */
-  readonly machines = new Map<MachineId, MachineRecord>();
-  readonly #pageOf = new Map<MachineId, string>();
-  readonly fleetPages = new Map<string, FleetPage>();
+  readonly #fleet = new FleetIndex((key) => this.rev(key));
   readonly shards = new Map<ShardId, Versioned<ControllerId>>();
   readonly members = new Map<ControllerLabel, Versioned<ControllerId>>();
   readonly rentals = new Map<string, Versioned<RentalIntent>>();
@@ -57,23 +46,40 @@
   leader: Versioned<ControllerId> | undefined;
   types: Versioned<readonly MachineType[]> | undefined;
   teams: Versioned<ReadonlyMap<TeamName, ShardId>> | undefined;
+  readonly spans: SpanIndex;
   /** All changes up to here are in. */
   position = revision(0);
   /** The highest revision heard of: some change up to here is known, not all need be. */
   latest = revision(0);
-  /** Rises with every change of machines. */
-  fleetVersion = 0;
   /** Jobs whose records were rewritten and machines proved gone since these were last emptied. */
   readonly rewrittenJobs = new Set<JobId>();
   readonly goneLately = new Set<MachineId>();
   /** Puts and deletes under `now/` that came with the watch, our own among them. */
   changesSeen = 0;
-  readonly #gone = new Set<MachineId>();
   readonly #work = new Map<ShardId, ShardJobs>();
   readonly #revs = new Map<string, Revision>();
   /** Keys deleted beyond what the watch has told: its older news must not bring them back. */
   readonly #dropped = new Map<string, Revision>();
 
+  /** `size` is how many shards there are. */
+  constructor(size = Number.POSITIVE_INFINITY) {
+    this.spans = new SpanIndex(size);
+  }
+
+  /** Machines by id. */
+  get machines(): ReadonlyMap<MachineId, MachineRecord> {
+    return this.#fleet.machines;
+  }
+
+  get fleetPages(): ReadonlyMap<string, FleetPage> {
+    return this.#fleet.pages;
+  }
+
+  /** Rises with every change of machines, and of who owns their shards. */
+  get fleetVersion(): number {
+    return this.#fleet.version;
+  }
+
   /** The jobs of a shard and their open attempts. */
   work(shard: ShardId): ShardJobs {
     let w = this.#work.get(shard);
@@ -86,7 +92,8 @@
 
   shardOf(id: JobId): ShardId | undefined {
     const a = this.accepted.get(id);
-    return a === undefined ? undefined : this.teams?.value.get(a.value.spec.team);
+    if (a === undefined) return undefined;
+    return a.value.shard ?? this.teams?.value.get(a.value.spec.team);
   }
 
   job(id: JobId): LiveJob | undefined {
@@ -100,8 +107,8 @@
   }
 
   /** The work of each shard of which something is known. */
-  works(): Iterable<ShardJobs> {
-    return this.#work.values();
+  works(): Iterable<readonly [ShardId, ShardJobs]> {
+    return this.#work;
   }
 
   openOn(id: MachineId): ReturnType<ShardJobs["openOn"]> {
@@ -109,12 +116,12 @@
   }
 
   fleetPageOf(id: MachineId): string | undefined {
-    return this.#pageOf.get(id);
+    return this.#fleet.pageOf(id);
   }
 
   /** The cloud has said that it is gone. */
   isGone(id: MachineId): boolean {
-    return this.#gone.has(id);
+    return this.#fleet.gone.has(id);
   }
 
   rev(key: string): Revision {
@@ -166,6 +173,7 @@
         this.#jobChanged(id);
         const was = this.accepted.get(id);
         keep(this.accepted, id, parseLive(id, value), rev);
+        this.spans.jobChanged(was?.value, this.accepted.get(id)?.value);
         if (was !== undefined) this.rewrittenJobs.add(id);
         this.#jobChanged(id);
         return;
@@ -177,17 +185,17 @@
         const shard = shardOfPage(name);
         // An unreadable page leaves what was last known of its machines.
         const machines = parseFleetPage(shard, value) ?? this.fleetPages.get(key)?.machines;
-        this.#fleetPage(key, { shard, rev, machines: machines ?? new Map() });
+        this.#fleet.put(key, { shard, rev, machines: machines ?? new Map() });
         return;
       }
       case "gone":
         keep(this.goneRecords, name, parseGone(value), rev);
         for (const id of this.goneRecords.get(name)?.value.ids ?? []) this.goneLately.add(id);
-        this.#goneChanged();
+        this.#fleet.setGone([...this.goneRecords.values()].flatMap((g) => g.value.ids));
         return;
       case "shard":
         keep(this.shards, shardId(Number(name)), parseControllerId(value), rev);
-        this.fleetVersion++;
+        this.#fleet.version++;
         return;
       case "member":
         keep(this.members, controllerLabel(name), parseControllerId(value), rev);
@@ -205,8 +213,12 @@
         return;
       case "teams":
         this.teams = { value: parseTeams(value), rev };
+        this.spans.homesChanged();
         for (const id of this.accepted.keys()) this.#jobChanged(id);
         return;
+      case "span":
+        this.spans.put(name, value, rev);
+        return;
       case "other":
         return;
     }
@@ -217,21 +229,22 @@
     switch (kind) {
       case "live":
         this.#jobChanged(jobId(name));
+        this.spans.jobChanged(this.accepted.get(jobId(name))?.value, undefined);
         this.accepted.delete(jobId(name));
         return;
       case "work":
         this.work(shardOfPage(name)).pageChanged(key, { m: [], j: [] }, ABSENT);
         return;
       case "fleet":
-        this.#fleetPage(key, undefined);
+        this.#fleet.drop(key);
         return;
       case "gone":
         this.goneRecords.delete(name);
-        this.#goneChanged();
+        this.#fleet.setGone([...this.goneRecords.values()].flatMap((g) => g.value.ids));
         return;
       case "shard":
         this.shards.delete(shardId(Number(name)));
-        this.fleetVersion++;
+        this.#fleet.version++;
         return;
       case "member":
         this.members.delete(controllerLabel(name));
@@ -247,6 +260,10 @@
         return;
       case "teams":
         this.teams = undefined;
+        this.spans.homesChanged();
+        return;
+      case "span":
+        this.spans.drop(name);
         return;
       case "other":
         return;
@@ -257,38 +274,8 @@
     const shard = this.shardOf(id);
     if (shard !== undefined) this.work(shard).jobChanged(id);
   }
-
-  #fleetPage(key: string, next: FleetPage | undefined): void {
-    this.fleetVersion++;
-    for (const id of this.fleetPages.get(key)?.machines.keys() ?? []) {
-      // A machine that moved to another page stands there already.
-      if (next?.machines.has(id) || this.#pageOf.get(id) !== key) continue;
-      this.#pageOf.delete(id);
-      this.machines.delete(id);
-    }
-    if (next === undefined) {
-      this.fleetPages.delete(key);
-      return;
-    }
-    this.fleetPages.set(key, next);
-    for (const [id, m] of next.machines) {
-      // Changes of one transaction come in any order: the younger page has the machine.
-      const other = this.#pageOf.get(id);
-      if (other !== undefined && other !== key && (this.#revs.get(other) ?? ABSENT) > next.rev)
-        continue;
-      this.#pageOf.set(id, key);
-      this.machines.set(id, m);
-    }
-  }
-
-  #goneChanged(): void {
-    this.#gone.clear();
-    for (const g of this.goneRecords.values()) for (const id of g.value.ids) this.#gone.add(id);
-    this.fleetVersion++;
-  }
 }
 
-const shardOfPage = (name: string): ShardId => shardId(Number(name.slice(0, name.indexOf("/"))));
 const keep = <K, V>(
   map: Map<K, Versioned<V>>,
   key: K,
--- a/src/storage/shard-jobs.ts
+++ b/src/storage/shard-jobs.ts
@@ -6,7 +6,7 @@
   type Revision,
   type TaskId,
   taskId,
-} from "../protocol/ids.js";
+} from "@umberfold/ids";
 import { JobIndex } from "./job-index.js";
 import { parseWorkPage } from "./pages.js";
 import { type Accepted, type LiveJob, NO_PROGRESS, type Progress } from "./records.js";
--- a/src/storage/store.ts
+++ b/src/storage/store.ts
@@ -1,4 +1,4 @@
-import { type LeaseId, type Mono, mono, type Revision } from "../protocol/ids.js";
+import { type LeaseId, type Mono, mono, type Revision } from "@umberfold/ids";
 import {
   type Change,
   type Condition,
--- /dev/null
+++ b/src/storage/versioned.ts
@@ -0,0 +1,7 @@
+import type { Revision } from "@umberfold/ids";
+
+/** A record's value, and the revision of the write that it was read at. */
+export interface Versioned<T> {
+  readonly value: T;
+  readonly rev: Revision;
+}
--- a/src/transport/clock.ts
+++ b/src/transport/clock.ts
@@ -1,4 +1,4 @@
-import { type Mono, mono, type Wall, wall } from "../protocol/ids.js";
+import { type Mono, mono, type Wall, wall } from "@umberfold/ids";
 
 /** The process's clocks; tests put a simulated one in their place. */
 export interface Clock {
--- a/test/codecs.test.ts
+++ b/test/codecs.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import test from "node:test";
+import { attemptNo, jobId, machineId, revision, shardId, wall } from "@umberfold/ids";
 import { checkOperators, parseOperators } from "../src/cli/operators.js";
 import { parseSettings } from "../src/cli/settings.js";
 import { decode, encode } from "../src/protocol/cbor.js";
-import { attemptNo, jobId, machineId, revision, shardId, wall } from "../src/protocol/ids.js";
 import { parseSubmission } from "../src/protocol/jobs.js";
 import { decodePeer, encodePeer } from "../src/protocol/peer.js";
 import { parseReport } from "../src/protocol/workers.js";
@@ -111,6 +111,7 @@
     spec: parsed.value,
     acceptedAt: wall(1_700_000_000_000),
     cancelledAt: wall(1_700_000_001_000),
+    shard: null,
   };
   assert.deepEqual(parseLive(jobId("wk-000412"), decode(encode(liveValue(job)))), job);
 });
--- a/test/coordination.test.ts
+++ b/test/coordination.test.ts
@@ -1,14 +1,5 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { Batch } from "../src/coordination/batch.js";
-import {
-  type Connectivity,
-  type ConnectivityView,
-  judgeConnectivity,
-} from "../src/coordination/connectivity.js";
-import { type Evidence, HEALTHY, type Health, stepHealth } from "../src/coordination/health.js";
-import { PauseDetector } from "../src/coordination/pause-detector.js";
-import { assignTeams, planShards } from "../src/coordination/shards.js";
 import {
   attemptNo,
   controllerLabel,
@@ -19,7 +10,16 @@
   revision,
   shardId,
   teamName,
-} from "../src/protocol/ids.js";
+} from "@umberfold/ids";
+import { Batch } from "../src/coordination/batch.js";
+import {
+  type Connectivity,
+  type ConnectivityView,
+  judgeConnectivity,
+} from "../src/coordination/connectivity.js";
+import { type Evidence, HEALTHY, type Health, stepHealth } from "../src/coordination/health.js";
+import { PauseDetector } from "../src/coordination/pause-detector.js";
+import { assignTeams, planShards } from "../src/coordination/shards.js";
 import type { ControllerId } from "../src/storage/records.js";
 import { Replica } from "../src/storage/replica.js";
 
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,17 +1,9 @@
 import assert from "node:assert/strict";
 import test from "node:test";
+import { jobId, machineId, revision, type ShardId, shardId, teamName, wall } from "@umberfold/ids";
 import type { Objective } from "../src/cli/settings.js";
 import { overloadedShards } from "../src/coordination/fleet/overload.js";
 import type { MachineType } from "../src/protocol/cloud.js";
-import {
-  jobId,
-  machineId,
-  revision,
-  type ShardId,
-  shardId,
-  teamName,
-  wall,
-} from "../src/protocol/ids.js";
 import type { Rank } from "../src/protocol/jobs.js";
 import { demandBound, demandOf } from "../src/scheduling/demand.js";
 import {
@@ -30,15 +22,10 @@
   PreemptionSearch,
   type PreemptionSource,
 } from "../src/scheduling/preemption.js";
+import { typesValue } from "../src/storage/cluster-records.js";
 import { JobIndex } from "../src/storage/job-index.js";
 import { fleetPageValue } from "../src/storage/pages.js";
-import {
-  keys,
-  type LiveJob,
-  type MachineRecord,
-  newJob,
-  typesValue,
-} from "../src/storage/records.js";
+import { keys, type LiveJob, type MachineRecord, newJob } from "../src/storage/records.js";
 import { Replica } from "../src/storage/replica.js";
 import { timeOfDay } from "../src/transport/clock.js";
 import { SimClock } from "./sim/clock.js";
@@ -409,7 +396,7 @@
   const needed = (cpus: number): number => {
     const d = demandOf({
       jobs: [fast, slow(cpus)],
-      shardOf: new Map([[teamName("t"), shardId(0)]]),
+      shardOf: () => shardId(0),
       teams: new Map([
         [teamName("t"), { name: teamName("t"), cpus: 0, gpus: 0, cpusMax: 1e6, gpusMax: 0 }],
       ]),
--- a/test/group-commit.test.ts
+++ b/test/group-commit.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { ABSENT, revision } from "../src/protocol/ids.js";
+import { ABSENT, revision } from "@umberfold/ids";
 import type { Txn } from "../src/protocol/store.js";
 import { GroupCommit } from "../src/storage/group-commit.js";
 import { Store, type TxnResult } from "../src/storage/store.js";
--- a/test/job-reader.test.ts
+++ b/test/job-reader.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { jobId, revision, teamName, wall } from "../src/protocol/ids.js";
+import { jobId, revision, teamName, wall } from "@umberfold/ids";
 import type { JobSpec } from "../src/protocol/jobs.js";
 import { type FoundJob, JobReader } from "../src/storage/job-reader.js";
 import { finalValue, keys, liveValue } from "../src/storage/records.js";
@@ -90,7 +90,7 @@
   /** A live job, known here, and cancelled or not. */
   job(id: string, heard = true, cancelledAt: number | null = null): void {
     const at = cancelledAt === null ? null : wall(cancelledAt);
-    const value = liveValue({ spec: spec(id), acceptedAt: wall(1), cancelledAt: at });
+    const value = liveValue({ spec: spec(id), acceptedAt: wall(1), cancelledAt: at, shard: null });
     const rev = this.write([{ write: keys.live(jobId(id)), v: value }]);
     if (heard)
       this.replica.apply({ kind: "put", key: keys.live(jobId(id)), value, rev: revision(rev) });
--- a/test/round-cost.test.ts
+++ b/test/round-cost.test.ts
@@ -1,14 +1,5 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { defaultOperators } from "../src/cli/operators.js";
-import { Batch } from "../src/coordination/batch.js";
-import { closeAttempts, endDueJobs, newShardRound } from "../src/coordination/closing.js";
-import type { Context } from "../src/coordination/context.js";
-import { LoopLag } from "../src/coordination/loop-lag.js";
-import { MachineRecords } from "../src/coordination/machine-records.js";
-import type { Membership } from "../src/coordination/membership.js";
-import { PlacementRound } from "../src/coordination/placement-round.js";
-import { ShardState } from "../src/coordination/shard-state.js";
 import {
   attemptNo,
   jobId,
@@ -20,10 +11,21 @@
   shardId,
   teamName,
   wall,
-} from "../src/protocol/ids.js";
+} from "@umberfold/ids";
+import { defaultOperators } from "../src/cli/operators.js";
+import { Batch } from "../src/coordination/batch.js";
+import { closeAttempts, endDueJobs, newShardRound } from "../src/coordination/closing.js";
+import type { Context } from "../src/coordination/context.js";
+import { LoopLag } from "../src/coordination/loop-lag.js";
+import { MachineRecords } from "../src/coordination/machine-records.js";
+import type { Membership } from "../src/coordination/membership.js";
+import { PlacementRound } from "../src/coordination/placement-round.js";
+import { Quotas } from "../src/coordination/quotas.js";
+import { ShardState } from "../src/coordination/shard-state.js";
 import type { JobSpec } from "../src/protocol/jobs.js";
+import { teamsValue, typesValue } from "../src/storage/cluster-records.js";
 import { fleetPageValue, workPageValue } from "../src/storage/pages.js";
-import { keys, type Progress, teamsValue, typesValue } from "../src/storage/records.js";
+import { keys, type Progress } from "../src/storage/records.js";
 import { Replica } from "../src/storage/replica.js";
 import { SimClock } from "./sim/clock.js";
 
@@ -81,6 +83,7 @@
       replica: this.replica,
       settings,
       teams: new Map([[TEAM, team]]),
+      quotas: new Quotas(this.replica, new Map([[TEAM, team]])),
       operators: defaultOperators(),
       store: { failing: () => false, writeLevel: () => 0 },
       lag: new LoopLag(),
@@ -120,7 +123,7 @@
     for (let i = 0; i < running + WAITING + complete; i++) {
       const id = jobId(`wk-${i}`);
       const spec = this.#counted(specOf(id));
-      const job = { spec, acceptedAt: wall(i), cancelledAt: null };
+      const job = { spec, acceptedAt: wall(i), cancelledAt: null, shard: null };
       this.replica.accepted.set(id, { value: job, rev: revision(1) });
       // Those that run do so on a machine that no session is about.
       const open = [{ index: 0, attempt: attemptNo(1), machine: machineId("m-99") }];
--- a/test/runner/main.ts
+++ b/test/runner/main.ts
@@ -6,10 +6,12 @@
 
 /** Runs all tests, prints their report, and passes over the failures that KNOWN-RED.txt lists. */
 const LIST = "KNOWN-RED.txt";
-const dir = path.resolve("target-test/test");
-const files = readdirSync(dir)
-  .filter((f) => f.endsWith(".test.js"))
-  .map((f) => path.join(dir, f));
+const packages = readdirSync("packages").map((name) => `target-test/packages/${name}/test`);
+const files = ["target-test/test", ...packages.filter((dir) => existsSync(dir))].flatMap((dir) =>
+  readdirSync(dir)
+    .filter((f) => f.endsWith(".test.js"))
+    .map((f) => path.resolve(dir, f)),
+);
 const list = parseKnownRed(existsSync(LIST) ? readFileSync(LIST, "utf8") : "");
 const failed: string[] = [];
 const passed: string[] = [];
--- a/test/session.test.ts
+++ b/test/session.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import test from "node:test";
+import { attemptKey, attemptNo, machineId, mono, type TaskId, token } from "@umberfold/ids";
 import {
   findAttempt,
   needsBump,
@@ -11,7 +12,6 @@
   stepSession,
   type Wanted,
 } from "../src/coordination/session.js";
-import { attemptKey, attemptNo, machineId, mono, type TaskId, token } from "../src/protocol/ids.js";
 import type { EndCause, Report, TaskStage } from "../src/protocol/workers.js";
 
 const TASK = "wk-000001/0" as TaskId;
--- /dev/null
+++ b/test/sim/burst.ts
@@ -0,0 +1,55 @@
+import type { Body } from "./fakes/message.js";
+import type { World } from "./world.js";
+
+/** One team sends many times its load at once. */
+export interface Burst {
+  readonly team: string;
+  readonly atMs: number;
+  /** So many jobs of so many tasks each, within a few seconds. */
+  readonly jobs: number;
+  readonly tasks: number;
+  /** Jobs whose number is divisible by three fail on days of mistakes; others never do. */
+  readonly failing?: boolean;
+  /** When the users call their jobs off, after the burst began. */
+  readonly cancelAfterMs?: number;
+}
+
+const WITHIN_MS = 4000;
+const CPUS = 1;
+
+const specOf = (id: string, { team, tasks }: Burst): Body => ({
+  uid: id,
+  weave: "b",
+  crew: team,
+  pattern: "sweep",
+  rank: "normal",
+  threads: tasks,
+  cpus: CPUS,
+  gpus: 0,
+  ramGb: 1,
+  bolt: "img-b",
+  imageGb: 0.5,
+  oneZone: false,
+  apart: false,
+  remnant: true,
+  expectS: 10,
+  knotS: 0,
+  spoolS: 0,
+});
+
+/** Schedules a burst; its jobs' numbers begin at `firstId`. Returns their ids. */
+export const scheduleBurst = (world: World, burst: Burst, firstId: number): readonly string[] => {
+  const ids: string[] = [];
+  for (let i = 0; ids.length < burst.jobs; i++) {
+    const number = firstId + i;
+    if ((number % 3 === 0) !== (burst.failing ?? false)) continue;
+    const id = `wk-${String(number).padStart(6, "0")}`;
+    ids.push(id);
+    const atMs = burst.atMs + (WITHIN_MS * ids.length) / burst.jobs;
+    world.clock.after(
+      atMs,
+      () => void world.user(id, specOf(id, burst), burst.cancelAfterMs ?? null),
+    );
+  }
+  return ids;
+};
--- a/test/sim/faults.ts
+++ b/test/sim/faults.ts
@@ -1,3 +1,5 @@
+import type { LoadSpreadSettings } from "@umberfold/load-spread";
+
 /** Faults that a simulated day may bring, alone or together. */
 export interface Trouble {
   /** Share of calls whose answer is lost; the call itself may come late, or never. */
@@ -60,6 +62,10 @@
   readonly questionFlood?: number;
   /** A team without a guarantee sends one-task jobs in masses and one huge array. */
   readonly guest?: boolean;
+  /** Load spreading is on, with these settings beside the defaults. */
+  readonly loadSpread?: Partial<LoadSpreadSettings>;
+  /** That share of the writes of spans gets no answer: carried out at once or not, and again late. */
+  readonly lateSpanWrites?: number;
   /** Machines come up minutes late, or never. */
   readonly lateBoots?: boolean;
 }
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -1,7 +1,8 @@
+import { incarnation } from "@umberfold/ids";
 import { defaultOperators } from "../../src/cli/operators.js";
+import { defaultPackages, type PackageSettings } from "../../src/cli/packages.js";
 import { makeLogger } from "../../src/observability/log.js";
 import { decode, encode } from "../../src/protocol/cbor.js";
-import { incarnation } from "../../src/protocol/ids.js";
 import { makeNode, type Node } from "../../src/service/node.js";
 import type { PeriodicTask } from "../../src/service/periodic-task.js";
 import type { Calls, Reply } from "../../src/transport/client.js";
@@ -99,6 +100,7 @@
     answered: 0,
     guestJobs: 0,
     lateBoots: 0,
+    lateSpanWrites: 0,
     freezes: 0,
   };
   /** Tasks that left a machine unfinished in an outage though nobody cancelled their job. */
@@ -117,6 +119,10 @@
   startsAfterCancel = 0;
   /** Machines that the service returned though they lived. */
   returnedAlive = 0;
+  /** Which packages are on: read at each boot, so that a test may switch between restarts. */
+  packages: PackageSettings;
+  /** Every span that was written, by team, with its time; null where one was taken away. */
+  readonly spans: { readonly team: string; readonly at: number; readonly value: unknown }[] = [];
   /** Calls of the whole day by kind, for bounding work by counts. */
   readonly calls = { state: 0, workers: 0, heartbeats: 0 };
 
@@ -126,6 +132,8 @@
     private readonly scale: Scale = SMALL,
     private readonly sabotage?: Sabotage,
   ) {
+    const loadSpread = { ...defaultPackages().loadSpread, ...trouble.loadSpread };
+    this.packages = { loadSpread: { ...loadSpread, enabled: trouble.loadSpread !== undefined } };
     this.#labels = Array.from({ length: scale.nodes }, (_, i) => `n-${i}`);
     this.clock = new SimClock(seed);
     this.#state = new FakeStateStore(this.clock);
@@ -344,6 +352,41 @@
     };
   }
 
+  /** What the state service holds under a key, for tests that look or meddle. */
+  stored(key: string): unknown {
+    return this.#state.keys.get(key)?.v;
+  }
+
+  /** A foreign write. */
+  async meddle(key: string, value: unknown): Promise<void> {
+    const apply = [{ write: key, v: value }];
+    await this.#state.handle("POST", "/txn", { if: [], apply });
+  }
+
+  outage(ms: number): void {
+    this.#state.outage(ms);
+  }
+
+  /** The controller is cut from the state service alone. */
+  refuse(n: number, ms: number): void {
+    this.#refused.add(n);
+    this.clock.after(ms, () => this.#refused.delete(n));
+  }
+
+  /** A share of the machines vanishes at once. */
+  spotWave(part: number): void {
+    for (const w of [...this.#workers.values()])
+      if (this.clock.random() < part) {
+        w.die();
+        this.#cloud.take(w.rented.id);
+      }
+  }
+
+  /** The controller that a record names, by number; -1 if there is none. */
+  ownerOf(key: string): number {
+    return this.#labels.indexOf(String((this.stored(key) as Body | undefined)?.l));
+  }
+
   get writes(): number {
     return this.#state.writes;
   }
@@ -365,6 +408,16 @@
           });
           return undefined;
         }
+        const spanWrite =
+          path === "/txn" && JSON.stringify(body?.apply ?? []).includes('"now/span/');
+        if (spanWrite && this.clock.random() < (this.trouble.lateSpanWrites ?? 0)) {
+          this.met.lateSpanWrites++;
+          if (this.clock.random() < 0.5) void this.#state.handle(method, path, body);
+          this.clock.after(this.clock.between(2000, 12_000), () => {
+            void this.#state.handle(method, path, body);
+          });
+          return undefined;
+        }
         if (this.sabotage === "comparisons" && path === "/txn" && body?.apply === undefined)
           return { status: 503 };
         if (this.sabotage === "finals" && path.startsWith("/store/final/"))
@@ -404,6 +457,7 @@
     const node = makeNode(
       settingsOf(n, this.#labels, this.scale.quota, this.trouble.guest === true),
       defaultOperators(),
+      this.packages,
       makeLogger("error", { node: this.#labels[n] }, (line) => {
         if (this.trouble.lost === 0) this.broken.push(line);
       }),
@@ -1010,6 +1064,10 @@
 
   /** A process ends within a fraction of a second of what it wrote, and is back at once. */
   #stateChanged(key: string): void {
+    if (key.startsWith("now/span/")) {
+      const value = this.stored(key) ?? null;
+      this.spans.push({ team: key.slice("now/span/".length), at: this.clock.now, value });
+    }
     if (this.trouble.elections !== true || this.clock.now > CALM_MS - 20_000) return;
     if (key !== "now/leader" && !key.startsWith("now/share/")) return;
     if (this.clock.random() > 0.25) return;
--- a/test/swarm.test.ts
+++ b/test/swarm.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { machineId, type TaskId } from "../src/protocol/ids.js";
+import { machineId, type TaskId } from "@umberfold/ids";
 import type { Resources } from "../src/protocol/jobs.js";
 import { apartLimit, permitted } from "../src/scheduling/placement.js";
 import { pheromone, type SwarmMachine, swarmRound } from "../src/scheduling/swarm.js";
--- a/test/work-index.test.ts
+++ b/test/work-index.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import test from "node:test";
+import { attemptNo, jobId, machineId, revision, teamName, wall } from "@umberfold/ids";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { attemptNo, jobId, machineId, revision, teamName, wall } from "../src/protocol/ids.js";
 import type { JobSpec, Resources } from "../src/protocol/jobs.js";
 import {
   type Place,
@@ -106,7 +106,12 @@
       const page = pages[d.below(2)] as Map<typeof id, Progress>;
       if (known === undefined) {
         const spec = randomSpec(d, id);
-        accepted.set(id, { spec, acceptedAt: wall(d.below(1e6) + step / 1000), cancelledAt: null });
+        accepted.set(id, {
+          spec,
+          acceptedAt: wall(d.below(1e6) + step / 1000),
+          cancelledAt: null,
+          shard: null,
+        });
       } else if (d.unit() < 0.1) accepted.set(id, { ...known, cancelledAt: wall(step) });
       else if (d.unit() < 0.15) {
         accepted.delete(id);
