--- a/packages/load-spread/src/choose-shard.ts
+++ b/packages/load-spread/src/choose-shard.ts
@@ -14,15 +14,15 @@
 };
 
 /**
- * The shard of a new job: weighted rendezvous hashing over the active shards by their targets. All
+ * The shard of a new job: weighted rendezvous hashing over the active shards. All
  * controllers choose alike, and a change of the span leaves most choices as they were.
  */
 export const chooseShard = (span: Span, job: JobId): ShardId => {
   let best = span.home;
   let bestScore = Number.POSITIVE_INFINITY;
-  for (const { shard, state, target } of span.entries) {
-    if (state !== "active" || target === 0) continue;
-    const score = -Math.log(unitHash(`${job}@${shard}`)) / target;
+  for (const { shard, state, weight } of span.entries) {
+    if (state !== "active" || weight === 0) continue;
+    const score = -Math.log(unitHash(`${job}@${shard}`)) / weight;
     if (score < bestScore) {
       bestScore = score;
       best = shard;
--- a/packages/load-spread/src/index.ts
+++ b/packages/load-spread/src/index.ts
@@ -4,14 +4,14 @@
  */
 export { chooseShard } from "./choose-shard.js";
 export { type FairTurn, type FairTurnInput, fairTurns, type WaitingWork } from "./fair-share.js";
-export { greedyTargets } from "./greedy-planner.js";
+export { greedyPlan } from "./greedy-planner.js";
+export { consolidated, leastShares } from "./least-shares.js";
 export type { OwnerLoad, ShardLoad, TeamLoad } from "./load.js";
 export {
-  leastShares,
   type PlanInput,
   planCost,
   planInput,
-  type Targets,
+  type SpanPlan,
   type TeamPlan,
   worthWriting,
 } from "./plan.js";
@@ -24,6 +24,6 @@
   stepPressure,
 } from "./pressure.js";
 export type { LoadSpreadSettings } from "./settings.js";
-export { solveTargets } from "./solver-planner.js";
+export { solvePlan } from "./solver-planner.js";
 export { decideSpan, dissolvable, type SpanDecision, teamPressure } from "./span-policy.js";
 export { nextTransfer, type TransferInput } from "./transfers.js";
--- a/packages/load-spread/src/plan.ts
+++ b/packages/load-spread/src/plan.ts
@@ -1,16 +1,19 @@
 import type { ShardId, TeamName } from "@umberfold/ids";
-import { type Share, type Span, share, WHOLE } from "@umberfold/spans";
+import { type PlannedShare, type Share, type Span, share, WHOLE } from "@umberfold/spans";
+import { leastShares } from "./least-shares.js";
 import type { OwnerLoad, TeamLoad } from "./load.js";
 import { tasksOf } from "./load.js";
 import type { LoadSpreadSettings } from "./settings.js";
 
-/** What each shard of a team's span should have of its quota. */
-export type Targets = ReadonlyMap<ShardId, Share>;
+/** What each shard of a team's span should have of its quota and of its new jobs. */
+export type SpanPlan = ReadonlyMap<ShardId, PlannedShare>;
 
 /** One shard of one team, as a planner sees it; in parts of the team's quota, 0 to 1. */
 export interface TeamPlanShard {
   readonly shard: ShardId;
   readonly owner: string;
+  /** Whether new jobs may be placed there. */
+  readonly active: boolean;
   readonly current: number;
   readonly demand: number;
   readonly least: number;
@@ -26,8 +29,10 @@
 
 export interface PlanInput {
   readonly teams: readonly TeamPlan[];
-  /** What each owner has to do beside the teams planned for. */
-  readonly baseUnits: ReadonlyMap<string, number>;
+  /** What each owner has to do now; new jobs come on top. */
+  readonly units: ReadonlyMap<string, number>;
+  /** The least part of its new jobs that each active shard takes. */
+  readonly leastWeight: number;
   readonly costs: Pick<LoadSpreadSettings, "loadCost" | "transferCost">;
 }
 
@@ -48,108 +53,76 @@
   const shards = load.span.entries.map((entry) => {
     const demand = (load.shards.get(entry.shard)?.demand ?? 0) / all;
     const leastPart = (least.get(entry.shard) ?? 0) / WHOLE;
+    const active = entry.state === "active";
     return {
       shard: entry.shard,
       owner: owners.find((o) => o.shards.includes(entry.shard))?.owner ?? NO_OWNER,
+      active,
       current: entry.share / WHOLE,
       demand,
       least: leastPart,
-      most: entry.state === "active" ? 1 : Math.max(leastPart, demand),
+      most: active ? 1 : Math.max(leastPart, demand),
     };
   });
   return { team: load.team, tasks: tasksOf(load), shards };
 };
 
-/**
- * What each shard of a span must have: what its open attempts take; then, the longest waiting first,
- * room for its largest waiting task beside them, or that task would wait for ever; then the least
- * share of an active shard. Whatever no longer fits into the whole is left out.
- */
-export const leastShares = (
-  load: TeamLoad,
-  span: Span,
-  minShare: number,
-): ReadonlyMap<ShardId, number> => {
-  const out = new Map(span.entries.map((e) => [e.shard, load.shards.get(e.shard)?.used ?? 0]));
-  let left = WHOLE - [...out.values()].reduce((sum, used) => sum + used, 0);
-  const raise = (shard: ShardId, to: number): void => {
-    const more = to - (out.get(shard) ?? 0);
-    if (more <= 0 || more > left) return;
-    out.set(shard, to);
-    left -= more;
-  };
-  const waiting = [...load.shards.values()].filter((s) => s.waiting > 0 && out.has(s.shard));
-  for (const s of waiting.sort((a, b) => a.oldest - b.oldest)) raise(s.shard, s.used + s.largest);
-  for (const e of span.entries)
-    if (e.state === "active") raise(e.shard, Math.floor(minShare * WHOLE));
-  return out;
-};
-
 export const planInput = (
   loads: readonly TeamLoad[],
   owners: readonly OwnerLoad[],
   settings: LoadSpreadSettings,
-): PlanInput => {
-  const teams = loads.flatMap((load) => teamPlan(load, owners, settings) ?? []);
-  const spread = new Set(teams.map((t) => t.team));
-  const baseUnits = new Map(owners.map((o) => [o.owner, o.units]));
-  for (const load of loads) {
-    if (!spread.has(load.team)) continue;
-    for (const here of load.shards.values()) {
-      const owner = owners.find((o) => o.shards.includes(here.shard))?.owner ?? NO_OWNER;
-      const rest = (baseUnits.get(owner) ?? 0) - here.open - here.waiting;
-      baseUnits.set(owner, Math.max(0, rest));
-    }
-  }
-  return { teams, baseUnits, costs: settings };
-};
+): PlanInput => ({
+  teams: loads.flatMap((load) => teamPlan(load, owners, settings) ?? []),
+  units: new Map(owners.map((o) => [o.owner, o.units])),
+  leastWeight: settings.minShare,
+  costs: settings,
+});
 
-/** Parts are sums of decimals; what is meant to be a whole millionth must not be taken for less. */
-const ROUNDING = 1e-3;
+/** A solver's parts are right within this; they are rounded to it. */
+const PRECISION = 1e-9;
 
-/** Parts of a quota as whole shares that add up to no more than the whole. */
-export const toTargets = (parts: ReadonlyMap<ShardId, number>): Targets => {
+const PRECISION_SHARE = Math.round(PRECISION * WHOLE);
+
+/** Parts of a whole as shares that add up to no more than it. */
+export const toShares = (parts: ReadonlyMap<ShardId, number>): ReadonlyMap<ShardId, Share> => {
   const out = new Map<ShardId, Share>();
   let left: number = WHOLE;
   for (const [shard, part] of parts) {
-    const target = Math.min(left, Math.floor(part * WHOLE + ROUNDING));
+    const target = Math.min(left, Math.round(part / PRECISION) * PRECISION_SHARE);
     out.set(shard, share(target));
     left -= target;
   }
   return out;
 };
 
-/**
- * Whether targets differ enough from those in force to be written: by a step, or because a shard
- * could not run its largest task under the old ones. At a steady load nothing is written.
- */
-export const worthWriting = (
-  span: Span,
-  targets: Targets,
-  least: ReadonlyMap<ShardId, number>,
-  step: number,
-): boolean =>
-  span.entries.some((e) => {
-    const next = targets.get(e.shard) ?? 0;
-    if (e.target < (least.get(e.shard) ?? 0) && next > e.target) return true;
-    return Math.abs(next - e.target) >= step * WHOLE;
-  });
+export const spanPlan = (
+  targets: ReadonlyMap<ShardId, number>,
+  weights: ReadonlyMap<ShardId, number>,
+): SpanPlan => {
+  const weightShares = toShares(weights);
+  return new Map(
+    [...toShares(targets)].map(([shard, target]) => [
+      shard,
+      { target, weight: weightShares.get(shard) ?? share(0) },
+    ]),
+  );
+};
 
 /**
  * What a plan costs, by the same measure for every planner: demand without room, the busiest owner
- * as a multiple of the mean, and the shares that change hands.
+ * as a multiple of the mean once new jobs have come, and the shares that change hands.
  */
-export const planCost = (input: PlanInput, plan: ReadonlyMap<TeamName, Targets>): number => {
-  const units = new Map(input.baseUnits);
+export const planCost = (input: PlanInput, plan: ReadonlyMap<TeamName, SpanPlan>): number => {
+  const units = new Map(input.units);
   let unmet = 0;
   let moved = 0;
   for (const team of input.teams) {
-    const targets = plan.get(team.team);
+    const planned = plan.get(team.team);
     for (const row of team.shards) {
-      const part = (targets?.get(row.shard) ?? 0) / WHOLE;
-      unmet += Math.max(0, row.demand - part);
-      moved += Math.max(0, part - row.current);
-      units.set(row.owner, (units.get(row.owner) ?? 0) + team.tasks * part);
+      const { target, weight } = planned?.get(row.shard) ?? { target: 0, weight: 0 };
+      unmet += Math.max(0, row.demand - target / WHOLE);
+      moved += Math.max(0, target / WHOLE - row.current);
+      units.set(row.owner, (units.get(row.owner) ?? 0) + (team.tasks * weight) / WHOLE);
     }
   }
   const loads = [...units].filter(([owner]) => owner !== NO_OWNER).map(([, n]) => n);
@@ -157,3 +130,20 @@
   const busiest = mean > 0 ? Math.max(0, ...loads) / mean : 0;
   return UNMET_COST * unmet + input.costs.loadCost * busiest + input.costs.transferCost * moved;
 };
+
+/**
+ * Whether a plan differs enough from the one in force to be written: by a step, or because a shard
+ * could not run its largest task under the old one. At a steady load nothing is written.
+ */
+export const worthWriting = (
+  span: Span,
+  plan: SpanPlan,
+  least: ReadonlyMap<ShardId, number>,
+  step: number,
+): boolean =>
+  span.entries.some((e) => {
+    const { target, weight } = plan.get(e.shard) ?? { target: 0, weight: 0 };
+    if (e.target < (least.get(e.shard) ?? 0) && target > e.target) return true;
+    const change = Math.max(Math.abs(target - e.target), Math.abs(weight - e.weight));
+    return change >= step * WHOLE;
+  });
--- a/packages/load-spread/src/planner.ts
+++ b/packages/load-spread/src/planner.ts
@@ -1,16 +1,11 @@
 import type { TeamName } from "@umberfold/ids";
-import { greedyTargets } from "./greedy-planner.js";
+import { share } from "@umberfold/spans";
+import { greedyPlan } from "./greedy-planner.js";
+import { consolidated, leastShares } from "./least-shares.js";
 import type { OwnerLoad, TeamLoad } from "./load.js";
-import {
-  leastShares,
-  type PlanInput,
-  planCost,
-  planInput,
-  type Targets,
-  worthWriting,
-} from "./plan.js";
+import { type PlanInput, planCost, planInput, type SpanPlan, worthWriting } from "./plan.js";
 import type { LoadSpreadSettings } from "./settings.js";
-import { solveTargets } from "./solver-planner.js";
+import { solvePlan } from "./solver-planner.js";
 
 export interface PlannerCounters {
   readonly solved: number;
@@ -21,9 +16,9 @@
   readonly noBetter: number;
 }
 
-type Solver = typeof solveTargets;
+type Solver = typeof solvePlan;
 
-/** Targets worth writing, for all spans: the solver's within its bounds of size and time, else the greedy ones. */
+/** Plans worth writing, for all spans: the solver's within its bounds of size and time, else greedy. */
 export class LoadSpreadPlanner {
   readonly counters = { solved: 0, tooLarge: 0, failed: 0, late: 0, noBetter: 0 };
 
@@ -31,26 +26,27 @@
     private readonly settings: LoadSpreadSettings,
     /** Milliseconds of a steady clock. */
     private readonly now: () => number,
-    private readonly solver: Solver = solveTargets,
+    private readonly solver: Solver = solvePlan,
   ) {}
 
-  plan(loads: readonly TeamLoad[], owners: readonly OwnerLoad[]): ReadonlyMap<TeamName, Targets> {
+  plan(loads: readonly TeamLoad[], owners: readonly OwnerLoad[]): ReadonlyMap<TeamName, SpanPlan> {
     const input = planInput(loads, owners, this.settings);
     if (input.teams.length === 0) return new Map();
     const chosen = this.#choose(input);
     const { minShare, shareStep } = this.settings;
-    const out = new Map<TeamName, Targets>();
+    const out = new Map<TeamName, SpanPlan>();
     for (const load of loads) {
-      const targets = chosen.get(load.team);
-      if (load.span === undefined || targets === undefined) continue;
+      const rough = chosen.get(load.team);
+      if (load.span === undefined || rough === undefined) continue;
       const least = leastShares(load, load.span, minShare);
-      if (worthWriting(load.span, targets, least, shareStep)) out.set(load.team, targets);
+      const plan = withTargets(rough, load);
+      if (worthWriting(load.span, plan, least, shareStep)) out.set(load.team, plan);
     }
     return out;
   }
 
-  #choose(input: PlanInput): ReadonlyMap<TeamName, Targets> {
-    const greedy = greedyTargets(input);
+  #choose(input: PlanInput): ReadonlyMap<TeamName, SpanPlan> {
+    const greedy = greedyPlan(input);
     const solved = this.#solve(input);
     if (solved === undefined) return greedy;
     if (planCost(input, solved) > planCost(input, greedy)) {
@@ -61,14 +57,14 @@
     return solved;
   }
 
-  #solve(input: PlanInput): ReadonlyMap<TeamName, Targets> | undefined {
+  #solve(input: PlanInput): ReadonlyMap<TeamName, SpanPlan> | undefined {
     const cells = input.teams.reduce((sum, t) => sum + t.shards.length, 0);
     if (cells > this.settings.solverCells) {
       this.counters.tooLarge++;
       return undefined;
     }
     const began = this.now();
-    let solved: ReadonlyMap<TeamName, Targets> | undefined;
+    let solved: ReadonlyMap<TeamName, SpanPlan> | undefined;
     try {
       solved = this.solver(input, this.settings.solverMs);
     } catch {
@@ -82,3 +78,16 @@
     return solved;
   }
 }
+
+/** The plan with targets in which nothing is left over that a waiting task could use. */
+const withTargets = (plan: SpanPlan, load: TeamLoad): SpanPlan => {
+  if (load.span === undefined) return plan;
+  const targets = new Map([...plan].map(([shard, { target }]) => [shard, target as number]));
+  const better = consolidated(load, load.span, targets);
+  return new Map(
+    [...plan].map(([shard, { target, weight }]) => [
+      shard,
+      { target: share(better.get(shard) ?? target), weight },
+    ]),
+  );
+};
--- a/packages/load-spread/src/solver-planner.ts
+++ b/packages/load-spread/src/solver-planner.ts
@@ -1,85 +1,117 @@
 import type { ShardId, TeamName } from "@umberfold/ids";
 import { type Constraint, equalTo, greaterEq, inRange, lessEq, type Model, solve } from "yalps";
-import { type PlanInput, type Targets, toTargets, UNMET_COST } from "./plan.js";
+import { type PlanInput, type SpanPlan, spanPlan, type TeamPlan, UNMET_COST } from "./plan.js";
 
 /** Sums of a solution may stray from the whole by this much; more is out of bounds. */
 const TOLERANCE = 1e-6;
+/** Coefficients below this are nothing to the solver, and its answers are rounded to it. */
+const PRECISION = 1e-10;
 const BUSIEST = "busiest";
 
 type Coefficients = Record<string, number>;
 
-/**
- * The linear programme. For each shard of each team: `x` its part of the quota, `u` demand without
- * room, `g` what it gains. `busiest` bounds every owner's load, in units of the mean.
- */
+interface Programme {
+  readonly variables: Record<string, Coefficients>;
+  readonly constraints: Record<string, Constraint>;
+}
+
+/** `target`: its part of the quota. `unmet`: demand without room. `gain`: what changes hands. */
+const addTargets = ({ variables, constraints }: Programme, team: TeamPlan, t: number): void => {
+  constraints[`quota|${t}`] = equalTo(1);
+  for (const row of team.shards) {
+    const at = `${t}|${row.shard}`;
+    constraints[`bounds|${at}`] = inRange(row.least, row.most);
+    constraints[`demand|${at}`] = greaterEq(row.demand);
+    constraints[`current|${at}`] = lessEq(row.current);
+    variables[`target|${at}`] = {
+      [`quota|${t}`]: 1,
+      [`bounds|${at}`]: 1,
+      [`demand|${at}`]: 1,
+      [`current|${at}`]: 1,
+    };
+    variables[`unmet|${at}`] = { cost: UNMET_COST, [`demand|${at}`]: 1 };
+    variables[`gain|${at}`] = { [`current|${at}`]: -1 };
+  }
+};
+
+/** `weight`: its part of new jobs, which are as many as the team has now. */
+const addWeights = (
+  { variables, constraints }: Programme,
+  team: TeamPlan,
+  t: number,
+  input: PlanInput,
+  mean: number,
+): void => {
+  constraints[`jobs|${t}`] = equalTo(1);
+  for (const row of team.shards) {
+    if (!row.active) continue;
+    const at = `${t}|${row.shard}`;
+    constraints[`least|${at}`] = greaterEq(input.leastWeight);
+    const weight: Coefficients = { [`jobs|${t}`]: 1, [`least|${at}`]: 1 };
+    if (input.units.has(row.owner)) weight[`load|${row.owner}`] = team.tasks / mean;
+    variables[`weight|${at}`] = weight;
+  }
+};
+
+/** The linear programme. `busiest` bounds every owner's load, in units of the mean. */
 const modelOf = (input: PlanInput): Model => {
-  const variables: Record<string, Coefficients> = {};
-  const constraints: Record<string, Constraint> = {};
-  const owners = [...input.baseUnits];
+  const programme: Programme = { variables: {}, constraints: {} };
   const tasks = input.teams.reduce((sum, t) => sum + t.tasks, 0);
-  const total = owners.reduce((sum, [, units]) => sum + units, 0) + tasks;
-  const mean = Math.max(1, total / Math.max(1, owners.length));
+  const total = [...input.units.values()].reduce((sum, units) => sum + units, tasks);
+  const mean = Math.max(1, total / Math.max(1, input.units.size));
   const busiest: Coefficients = { cost: input.costs.loadCost };
-  for (const [owner, units] of owners) {
-    // load(owner) - busiest <= 0
-    constraints[`load|${owner}`] = lessEq(-units / mean);
+  for (const [owner, units] of input.units) {
+    programme.constraints[`load|${owner}`] = lessEq(-units / mean);
     busiest[`load|${owner}`] = -1;
   }
-  variables[BUSIEST] = busiest;
-  input.teams.forEach((team, t) => {
-    constraints[`whole|${t}`] = equalTo(1);
+  programme.variables[BUSIEST] = busiest;
+  for (const [t, team] of input.teams.entries()) {
+    addTargets(programme, team, t);
+    addWeights(programme, team, t, input, mean);
     for (const row of team.shards) {
-      const at = `${t}|${row.shard}`;
-      constraints[`bounds|${at}`] = inRange(row.least, row.most);
-      constraints[`demand|${at}`] = greaterEq(row.demand);
-      constraints[`gain|${at}`] = lessEq(row.current);
-      const part: Coefficients = {
-        [`whole|${t}`]: 1,
-        [`bounds|${at}`]: 1,
-        [`demand|${at}`]: 1,
-        [`gain|${at}`]: 1,
-      };
-      if (input.baseUnits.has(row.owner)) part[`load|${row.owner}`] = team.tasks / mean;
-      variables[`x|${at}`] = part;
-      variables[`u|${at}`] = { cost: UNMET_COST, [`demand|${at}`]: 1 };
-      variables[`g|${at}`] = { cost: input.costs.transferCost, [`gain|${at}`]: -1 };
+      const gain = programme.variables[`gain|${t}|${row.shard}`];
+      if (gain !== undefined) gain.cost = input.costs.transferCost;
     }
-  });
-  return { direction: "minimize", objective: "cost", constraints, variables };
+  }
+  return { direction: "minimize", objective: "cost", ...programme };
 };
 
-const readTeam = (
-  shards: PlanInput["teams"][number]["shards"],
+/** Parts that add up to one, within their bounds; undefined otherwise. */
+const readParts = (
   values: ReadonlyMap<string, number>,
+  name: "target" | "weight",
   t: number,
-): Targets | undefined => {
+  rows: readonly { readonly shard: ShardId; readonly least: number; readonly most: number }[],
+): ReadonlyMap<ShardId, number> | undefined => {
   const parts = new Map<ShardId, number>();
   let sum = 0;
-  for (const row of shards) {
-    const part = values.get(`x|${t}|${row.shard}`) ?? 0;
-    if (!Number.isFinite(part) || part < row.least - TOLERANCE || part > row.most + TOLERANCE)
-      return undefined;
+  for (const { shard, least, most } of rows) {
+    const part = values.get(`${name}|${t}|${shard}`) ?? 0;
+    if (!(part >= least - TOLERANCE && part <= most + TOLERANCE)) return undefined;
     sum += part;
-    parts.set(row.shard, part);
+    parts.set(shard, part);
   }
   if (Math.abs(sum - 1) > TOLERANCE) return undefined;
   // What strays within the tolerance must not raise the sum beyond the whole.
-  return toTargets(new Map([...parts].map(([shard, part]) => [shard, part / Math.max(1, sum)])));
+  return new Map([...parts].map(([shard, part]) => [shard, part / Math.max(1, sum)]));
 };
 
 /** Undefined if the solver fails, takes too long or answers out of bounds. */
-export const solveTargets = (
+export const solvePlan = (
   input: PlanInput,
   timeoutMs: number,
-): ReadonlyMap<TeamName, Targets> | undefined => {
-  const solution = solve(modelOf(input), { timeout: timeoutMs });
+): ReadonlyMap<TeamName, SpanPlan> | undefined => {
+  const solution = solve(modelOf(input), { timeout: timeoutMs, precision: PRECISION });
   if (solution.status !== "optimal") return undefined;
   const values = new Map(solution.variables);
-  const out = new Map<TeamName, Targets>();
+  const out = new Map<TeamName, SpanPlan>();
   for (const [t, team] of input.teams.entries()) {
-    const targets = readTeam(team.shards, values, t);
-    if (targets === undefined) return undefined;
-    out.set(team.team, targets);
+    const targets = readParts(values, "target", t, team.shards);
+    const active = team.shards.filter((s) => s.active);
+    const bounds = active.map(({ shard }) => ({ shard, least: input.leastWeight, most: 1 }));
+    const weights = readParts(values, "weight", t, bounds);
+    if (targets === undefined || weights === undefined) return undefined;
+    out.set(team.team, spanPlan(targets, weights));
   }
   return out;
 };
--- a/packages/load-spread/test/load-spread.test.ts
+++ b/packages/load-spread/test/load-spread.test.ts
@@ -3,12 +3,14 @@
 import { jobId, type ShardId, shardId, type TeamName, teamName } from "@umberfold/ids";
 import {
   chooseShard,
+  consolidated,
   decideSpan,
   type FairTurn,
   fairTurns,
-  greedyTargets,
+  greedyPlan,
   LoadSpreadPlanner,
   type LoadSpreadSettings,
+  leastShares,
   NO_PRESSURE,
   nextTransfer,
   type OwnerLoad,
@@ -16,9 +18,9 @@
   planCost,
   planInput,
   type ShardLoad,
-  solveTargets,
+  type SpanPlan,
+  solvePlan,
   stepPressure,
-  type Targets,
   type TeamLoad,
   teamPressure,
   type WaitingWork,
@@ -49,6 +51,11 @@
   fairShares: true,
 };
 
+/** Shares in millionths, for reading. */
+const MILLIONTH = WHOLE / 1_000_000;
+const ROUNDING = WHOLE * 1e-8;
+const millionths = (n: number) => share(n * MILLIONTH);
+
 const shardLoad = (shard: ShardId, more: Partial<ShardLoad> = {}): ShardLoad => ({
   shard,
   jobs: 0,
@@ -181,13 +188,29 @@
 const planned = (load: TeamLoad, ...units: readonly number[]) =>
   planInput([load], owners(...units), settings);
 
-const checkTargets = (load: TeamLoad, targets: Targets | undefined): void => {
-  assert.ok(targets !== undefined);
-  let sum = 0;
-  for (const target of targets.values()) sum += target;
-  assert.ok(sum <= WHOLE);
-  for (const e of load.span?.entries ?? [])
-    assert.ok((targets.get(e.shard) ?? 0) >= (load.shards.get(e.shard)?.used ?? 0));
+const plan = (shard: ShardId, target: number, weight: number) =>
+  [shard, { target: millionths(target), weight: millionths(weight) }] as const;
+
+const checkPlan = (load: TeamLoad, planned: SpanPlan | undefined): void => {
+  assert.ok(planned !== undefined && load.span !== undefined);
+  let targets = 0;
+  let weights = 0;
+  const least = leastShares(load, load.span, settings.minShare);
+  for (const [shard, { target, weight }] of planned) {
+    targets += target;
+    weights += weight;
+    assert.ok(target >= (least.get(shard) ?? 0) - ROUNDING, `${target} in ${shard}`);
+    assert.ok(weight >= settings.minShare * WHOLE - ROUNDING);
+  }
+  assert.ok(targets <= WHOLE && targets > WHOLE - ROUNDING);
+  assert.ok(weights <= WHOLE && weights > WHOLE - ROUNDING);
+  const better = consolidated(
+    load,
+    load.span,
+    new Map([...planned].map(([s, p]) => [s, p.target])),
+  );
+  assert.ok([...better.values()].reduce((sum, n) => sum + n, 0) <= WHOLE);
+  for (const target of better.values()) assert.ok(target >= 0);
 };
 
 const randomLoad = fc
@@ -203,9 +226,9 @@
           jobs: 1,
           open: 5,
           waiting,
-          used: share(used),
-          demand: share(used + more),
-          largest: share(largest),
+          used: millionths(used),
+          demand: millionths(used + more),
+          largest: millionths(largest),
           oldest: i,
         }),
       ),
@@ -216,10 +239,10 @@
   fc.assert(
     fc.property(randomLoad, (load) => {
       const input = planned(load, 100, 50, 10);
-      const greedy = greedyTargets(input);
-      const solved = solveTargets(input, 1000);
-      checkTargets(load, greedy.get(TEAM));
-      checkTargets(load, solved?.get(TEAM));
+      const greedy = greedyPlan(input);
+      const solved = solvePlan(input, 1000);
+      checkPlan(load, greedy.get(TEAM));
+      checkPlan(load, solved?.get(TEAM));
       if (solved !== undefined)
         assert.ok(planCost(input, solved) <= planCost(input, greedy) + 0.01);
     }),
@@ -232,17 +255,14 @@
     shardLoad(shard, {
       jobs: 1,
       waiting: 1,
-      demand: share(600_000),
-      largest: share(600_000),
+      demand: millionths(600_000),
+      largest: millionths(600_000),
       oldest: i,
     }),
   );
   const load = teamLoad(spanOf(OTHER), rows);
-  for (const targets of [
-    greedyTargets(planned(load, 1, 1)),
-    solveTargets(planned(load, 1, 1), 1000),
-  ])
-    assert.ok((targets?.get(TEAM)?.get(HOME) ?? 0) >= 600_000);
+  for (const targets of [greedyPlan(planned(load, 1, 1)), solvePlan(planned(load, 1, 1), 1000)])
+    assert.ok((targets?.get(TEAM)?.get(HOME)?.target ?? 0) >= 600_000 * MILLIONTH);
 });
 
 const solvers: readonly (readonly [string, () => undefined | never, string])[] = [
@@ -260,15 +280,15 @@
     const planner = new LoadSpreadPlanner(settings, () => 0, solver);
     const load = teamLoad(spanOf(OTHER), [burst]);
     const targets = planner.plan([load], owners(100, 10)).get(TEAM);
-    assert.deepEqual(targets, greedyTargets(planned(load, 100, 10)).get(TEAM));
+    assert.deepEqual(targets, greedyPlan(planned(load, 100, 10)).get(TEAM));
     assert.equal(planner.counters[counter as "failed"], 1);
   });
 
 test("a solver that is late is a counted fallback", () => {
   let now = 0;
-  const late = (): ReadonlyMap<TeamName, Targets> => {
+  const late = (): ReadonlyMap<TeamName, SpanPlan> => {
     now += settings.solverMs + 1;
-    return new Map([[TEAM, new Map([[HOME, WHOLE]])]]);
+    return new Map([[TEAM, new Map([plan(HOME, 1_000_000, 1_000_000)])]]);
   };
   const planner = new LoadSpreadPlanner(settings, () => now, late);
   planner.plan([teamLoad(spanOf(OTHER), [burst])], owners(100, 10));
@@ -286,53 +306,101 @@
   let span = spanOf(OTHER);
   const load = (): TeamLoad =>
     teamLoad(span, [
-      shardLoad(HOME, { jobs: 5, open: 10, waiting: 10, demand: share(400_000), oldest: 1 }),
-      shardLoad(OTHER, { jobs: 5, open: 10, waiting: 10, demand: share(300_000), oldest: 2 }),
+      shardLoad(HOME, { jobs: 5, open: 10, waiting: 10, demand: millionths(400_000), oldest: 1 }),
+      shardLoad(OTHER, { jobs: 5, open: 10, waiting: 10, demand: millionths(300_000), oldest: 2 }),
     ]);
   let writes = 0;
   for (let i = 0; i < 50; i++) {
-    const targets = planner.plan([load()], owners(100, 90)).get(TEAM);
-    if (targets === undefined) continue;
+    const planned = planner.plan([load()], owners(100, 90)).get(TEAM);
+    if (planned === undefined) continue;
     writes++;
-    const stepped = stepSpan(span, { kind: "plan", targets });
+    const stepped = stepSpan(span, { kind: "plan", plan: planned });
     assert.ok(stepped.ok);
     span = stepped.span;
   }
   assert.ok(writes <= 2, `${writes} writes`);
 });
 
+test("new jobs go to the owner with the least to do, quota to where the waiting jobs are", () => {
+  const load = teamLoad(spanOf(OTHER), [
+    shardLoad(HOME, {
+      jobs: 50,
+      open: 20,
+      waiting: 80,
+      used: WHOLE,
+      demand: millionths(5_000_000),
+    }),
+  ]);
+  for (const got of [greedyPlan(planned(load, 150, 10)), solvePlan(planned(load, 150, 10), 1000)]) {
+    const home = got?.get(TEAM)?.get(HOME);
+    assert.ok((home?.target ?? 0) > 800_000 * MILLIONTH, "quota stays with what waits");
+    assert.ok((home?.weight ?? WHOLE) < 300_000 * MILLIONTH, "new jobs don't");
+  }
+});
+
+const fragments: readonly (readonly [string, readonly ShardLoad[], readonly number[]])[] = [
+  [
+    "what neither can use alone lets the older start one more",
+    [
+      shardLoad(HOME, { waiting: 5, largest: millionths(333_000), demand: WHOLE, oldest: 2 }),
+      shardLoad(OTHER, { waiting: 5, largest: millionths(333_000), demand: WHOLE, oldest: 1 }),
+    ],
+    [334_000, 666_000],
+  ],
+  [
+    "an idle shard's least share is lent to a task that waits",
+    [
+      shardLoad(HOME, {
+        waiting: 1,
+        used: millionths(400_000),
+        largest: millionths(400_000),
+        demand: millionths(800_000),
+        oldest: 1,
+      }),
+    ],
+    [800_000, 200_000],
+  ],
+];
+for (const [name, rows, expected] of fragments)
+  test(`fragments of a quota: ${name}`, () => {
+    const targets = new Map([
+      [HOME, 500_000 * MILLIONTH],
+      [OTHER, 500_000 * MILLIONTH],
+    ]);
+    const got = consolidated(teamLoad(spanOf(OTHER), rows), spanOf(OTHER), targets);
+    assert.deepEqual(
+      [...got.values()].map((n) => n / MILLIONTH),
+      expected,
+    );
+  });
+
 // ---- Transfers ------------------------------------------------------------------------------
 
 test("a giver hands on what it neither uses nor is to keep, to whom lacks most", () => {
-  const plan = stepSpan(spanOf(OTHER, THIRD), {
+  const stepped = stepSpan(spanOf(OTHER, THIRD), {
     kind: "plan",
-    targets: new Map([
-      [HOME, share(300_000)],
-      [OTHER, share(600_000)],
-      [THIRD, share(100_000)],
-    ]),
+    plan: new Map([plan(HOME, 300_000, 0), plan(OTHER, 600_000, 0), plan(THIRD, 100_000, 0)]),
   });
-  assert.ok(plan.ok);
-  const event = nextTransfer({ span: plan.span, from: HOME, used: share(500_000) });
+  assert.ok(stepped.ok);
+  const event = nextTransfer({ span: stepped.span, from: HOME, used: millionths(500_000) });
   assert.deepEqual(event, {
     kind: "transfer",
     from: HOME,
     to: OTHER,
-    amount: share(500_000),
-    used: share(500_000),
+    amount: millionths(500_000),
+    used: millionths(500_000),
   });
-  assert.equal(nextTransfer({ span: plan.span, from: OTHER, used: share(0) }), undefined);
-  assert.equal(nextTransfer({ span: plan.span, from: HOME, used: WHOLE }), undefined);
+  assert.equal(nextTransfer({ span: stepped.span, from: OTHER, used: share(0) }), undefined);
+  assert.equal(nextTransfer({ span: stepped.span, from: HOME, used: WHOLE }), undefined);
 });
 
 // ---- Choosing a shard -----------------------------------------------------------------------
 
-test("new jobs go to active shards by their targets, and mostly stay when one more joins", () => {
-  const targets = new Map([
-    [HOME, share(500_000)],
-    [OTHER, share(500_000)],
-  ]);
-  const two = stepSpan(spanOf(OTHER), { kind: "plan", targets });
+test("new jobs go to active shards by their weights, and mostly stay when one more joins", () => {
+  const two = stepSpan(spanOf(OTHER), {
+    kind: "plan",
+    plan: new Map([plan(HOME, 0, 500_000), plan(OTHER, 0, 500_000)]),
+  });
   assert.ok(two.ok);
   const ids = Array.from({ length: 4000 }, (_, i) => jobId(`wk-${i}`));
   const there = ids.filter((id) => chooseShard(two.span, id) === OTHER).length;
@@ -341,11 +409,7 @@
   assert.ok(joined.ok);
   const three = stepSpan(joined.span, {
     kind: "plan",
-    targets: new Map([
-      [HOME, share(400_000)],
-      [OTHER, share(400_000)],
-      [THIRD, share(200_000)],
-    ]),
+    plan: new Map([plan(HOME, 0, 400_000), plan(OTHER, 0, 400_000), plan(THIRD, 0, 200_000)]),
   });
   assert.ok(three.ok);
   const moved = ids.filter((id) => {
--- a/packages/spans/src/codec.ts
+++ b/packages/spans/src/codec.ts
@@ -8,22 +8,24 @@
 export const spanValue = (span: Span): unknown => ({
   f: FORMAT,
   h: span.home,
-  e: span.entries.map((e) => [e.shard, STATES.indexOf(e.state), e.share, e.target]),
+  e: span.entries.map((e) => [e.shard, STATES.indexOf(e.state), e.share, e.target, e.weight]),
 });
 
 const isIndex = (v: unknown, below: number): v is number =>
   typeof v === "number" && Number.isInteger(v) && v >= 0 && v < below;
 
 const parseEntry = (row: unknown, shards: number): SpanEntry | undefined => {
-  if (!Array.isArray(row) || row.length < 4) return undefined;
-  const [shard, state, held, target] = row as readonly unknown[];
+  if (!Array.isArray(row) || row.length < 5) return undefined;
+  const [shard, state, held, target, weight] = row as readonly unknown[];
   if (!isIndex(shard, shards) || !isIndex(state, STATES.length)) return undefined;
   if (!isIndex(held, WHOLE + 1) || !isIndex(target, WHOLE + 1)) return undefined;
+  if (!isIndex(weight, WHOLE + 1)) return undefined;
   return {
     shard: shardId(shard),
     state: STATES[state] ?? "draining",
     share: share(held),
     target: share(target),
+    weight: share(weight),
   };
 };
 
--- a/packages/spans/src/index.ts
+++ b/packages/spans/src/index.ts
@@ -12,6 +12,7 @@
   share,
   shareOf,
   sumOfShares,
+  usableShare,
   WHOLE,
 } from "./span.js";
-export { type Refusal, type SpanEvent, type Stepped, stepSpan } from "./step.js";
+export { type PlannedShare, type Refusal, type SpanEvent, type Stepped, stepSpan } from "./step.js";
--- a/packages/spans/src/step.ts
+++ b/packages/spans/src/step.ts
@@ -10,8 +10,8 @@
   | { readonly kind: "drain"; readonly shard: ShardId }
   /** The shard has no job of the team left. */
   | { readonly kind: "leave"; readonly shard: ShardId }
-  /** What the leader would have the shares be. */
-  | { readonly kind: "plan"; readonly targets: ReadonlyMap<ShardId, Share> }
+  /** What the leader would have the shares be, and where new jobs are to go. */
+  | { readonly kind: "plan"; readonly plan: ReadonlyMap<ShardId, PlannedShare> }
   /** A giver's owner hands part of its share on; `used` is what its open attempts take. */
   | {
       readonly kind: "transfer";
@@ -21,6 +21,11 @@
       readonly used: Share;
     };
 
+export interface PlannedShare {
+  readonly target: Share;
+  readonly weight: Share;
+}
+
 /** Why an event changes nothing. */
 export type Refusal =
   | "in the span already"
@@ -49,16 +54,21 @@
   ok: true,
   span: {
     home: span.home,
-    entries: [...span.entries, { shard, state, share: share(0), target: share(0) }],
+    entries: [
+      ...span.entries,
+      { shard, state, share: share(0), target: share(0), weight: share(0) },
+    ],
   },
 });
 
-const plan = (span: Span, targets: ReadonlyMap<ShardId, Share>): Stepped => {
-  for (const [shard, target] of targets) {
+const isPart = (n: number): boolean => Number.isInteger(n) && n >= 0 && n <= WHOLE;
+
+const plan = (span: Span, planned: ReadonlyMap<ShardId, PlannedShare>): Stepped => {
+  for (const [shard, { target, weight }] of planned) {
     if (!span.entries.some((e) => e.shard === shard)) return refused("not in the span");
-    if (!Number.isInteger(target) || target < 0) return refused("not a positive amount");
+    if (!isPart(target) || !isPart(weight)) return refused("not a positive amount");
   }
-  const entries = span.entries.map((e) => ({ ...e, target: targets.get(e.shard) ?? e.target }));
+  const entries = span.entries.map((e) => ({ ...e, ...planned.get(e.shard) }));
   if (sumOfShares(entries.map((e) => e.target)) > WHOLE) return refused("more than the whole");
   return { ok: true, span: { home: span.home, entries } };
 };
@@ -80,7 +90,7 @@
 
 /** The one place where a span changes. A refused event leaves it as it is. */
 export const stepSpan = (span: Span, event: SpanEvent): Stepped => {
-  if (event.kind === "plan") return plan(span, event.targets);
+  if (event.kind === "plan") return plan(span, event.plan);
   if (event.kind === "transfer") return transfer(span, event);
   const entry = span.entries.find((e) => e.shard === event.shard);
   switch (event.kind) {
@@ -94,7 +104,7 @@
     case "drain":
       if (event.shard === span.home) return refused("home shard");
       if (entry?.state !== "active") return refused("not in the span");
-      return withEntry(span, event.shard, { state: "draining" });
+      return withEntry(span, event.shard, { state: "draining", weight: share(0) });
     case "leave":
       if (event.shard === span.home) return refused("home shard");
       if (entry?.state !== "draining") return refused("not in the span");
--- a/packages/spans/test/spans.test.ts
+++ b/packages/spans/test/spans.test.ts
@@ -28,7 +28,9 @@
   ),
   fc.record({
     kind: fc.constant("plan" as const),
-    targets: fc.array(fc.tuple(shards, parts), { maxLength: SHARDS }).map((rows) => new Map(rows)),
+    plan: fc
+      .array(fc.tuple(shards, fc.record({ target: parts, weight: parts })), { maxLength: SHARDS })
+      .map((rows) => new Map(rows)),
   }),
   fc.record({
     kind: fc.constant("transfer" as const),
@@ -164,16 +166,17 @@
   ["a text", "span"],
   ["another version", { ...good, f: 2 }],
   ["a home that is no shard", { ...good, h: SHARDS }],
-  ["no home among the entries", { ...good, e: [[1, 0, WHOLE, WHOLE]] }],
-  ["a home that drains", { ...good, e: [[0, 1, WHOLE, WHOLE]] }],
+  ["no home among the entries", { ...good, e: [[1, 0, WHOLE, WHOLE, 0]] }],
+  ["a home that drains", { ...good, e: [[0, 1, WHOLE, WHOLE, 0]] }],
   ["a shard twice", { ...good, e: [...good.e, ...good.e] }],
-  ["a shard beyond the shards", { ...good, e: [...good.e, [SHARDS, 0, 0, 0]] }],
-  ["more than the whole", { ...good, e: [...good.e, [1, 0, 1, 0]] }],
-  ["targets beyond the whole", { ...good, e: [...good.e, [1, 0, 0, 1]] }],
-  ["a negative share", { ...good, e: [...good.e, [1, 0, -1, 0]] }],
-  ["a broken share", { ...good, e: [...good.e, [1, 0, 0.5, 0]] }],
-  ["a share that is no number", { ...good, e: [...good.e, [1, 0, "1", 0]] }],
-  ["an unknown state", { ...good, e: [...good.e, [1, 2, 0, 0]] }],
+  ["a shard beyond the shards", { ...good, e: [...good.e, [SHARDS, 0, 0, 0, 0]] }],
+  ["more than the whole", { ...good, e: [...good.e, [1, 0, 1, 0, 0]] }],
+  ["targets beyond the whole", { ...good, e: [...good.e, [1, 0, 0, 1, 0]] }],
+  ["a negative share", { ...good, e: [...good.e, [1, 0, -1, 0, 0]] }],
+  ["a broken share", { ...good, e: [...good.e, [1, 0, 0.5, 0, 0]] }],
+  ["a share that is no number", { ...good, e: [...good.e, [1, 0, "1", 0, 0]] }],
+  ["a weight beyond the whole", { ...good, e: [...good.e, [1, 0, 0, 0, WHOLE + 1]] }],
+  ["an unknown state", { ...good, e: [...good.e, [1, 2, 0, 0, 0]] }],
   ["a short entry", { ...good, e: [...good.e, [1]] }],
 ];
 for (const [name, value] of bad)
@@ -189,7 +192,7 @@
   ["draining a stranger", { kind: "drain", shard: shardId(3) }, "not in the span"],
   [
     "a plan for a stranger",
-    { kind: "plan", targets: new Map([[shardId(3), share(1)]]) },
+    { kind: "plan", plan: new Map([[shardId(3), { target: share(1), weight: share(0) }]]) },
     "not in the span",
   ],
   [
@@ -199,7 +202,13 @@
   ],
   [
     "a transfer of what is in use",
-    { kind: "transfer", from: HOME, to: shardId(1), amount: share(600_000), used: share(500_000) },
+    {
+      kind: "transfer",
+      from: HOME,
+      to: shardId(1),
+      amount: share(0.6 * WHOLE),
+      used: share(0.5 * WHOLE),
+    },
     "in use",
   ],
 ];
--- a/src/coordination/load-spread/load-spread.ts
+++ b/src/coordination/load-spread/load-spread.ts
@@ -65,7 +65,7 @@
     const spans = Object.fromEntries(
       [...replica.spans.records].map(([team, { value }]) => [
         team,
-        value?.entries.map((e) => [e.shard, e.state, e.share, e.target]) ?? "unreadable",
+        value?.entries.map((e) => [e.shard, e.state, e.share, e.target, e.weight]) ?? "unreadable",
       ]),
     );
     return {
@@ -126,9 +126,9 @@
   }
 
   async #plan(loads: readonly TeamLoad[], owners: readonly OwnerLoad[]): Promise<void> {
-    for (const [team, targets] of this.#planner.plan(loads, owners)) {
+    for (const [team, plan] of this.#planner.plan(loads, owners)) {
       const span = loads.find((load) => load.team === team)?.span;
-      if (span !== undefined) await this.#spans.apply(team, span, { kind: "plan", targets });
+      if (span !== undefined) await this.#spans.apply(team, span, { kind: "plan", plan });
     }
   }
 
--- a/src/coordination/load-spread/span-records.ts
+++ b/src/coordination/load-spread/span-records.ts
@@ -39,7 +39,13 @@
     if (!(await this.#write(team, { kind: "put", value: spanValue(stepped.span) }))) return false;
     this.counters.changes++;
     const shard = event.kind === "plan" || event.kind === "transfer" ? undefined : event.shard;
-    const entries = stepped.span.entries.map((e) => [e.shard, e.state, e.share, e.target]);
+    const entries = stepped.span.entries.map((e) => [
+      e.shard,
+      e.state,
+      e.share,
+      e.target,
+      e.weight,
+    ]);
     this.ctx.log.info("span changed", { team, event: event.kind, shard, entries });
     return true;
   }
@@ -64,16 +70,16 @@
     const span: Span = {
       home: load.home,
       entries: [
-        { shard: load.home, state: "active", share: atHome, target: atHome },
+        { shard: load.home, state: "active", share: atHome, target: atHome, weight: WHOLE },
         ...used.map(({ shard, used: part }) => {
           const kept = share(Math.floor(part * scale));
-          return { shard, state: "draining" as const, share: kept, target: kept };
+          return { shard, state: "draining" as const, share: kept, target: kept, weight: share(0) };
         }),
       ],
     };
     if (!(await this.#write(load.team, { kind: "put", value: spanValue(span) }))) return;
     this.counters.repaired++;
-    this.ctx.log.error("unreadable span replaced", {
+    this.ctx.log.info("unreadable span replaced", {
       team: load.team,
       atHome: shareOf(span, load.home),
     });
--- a/src/coordination/load-spread/team-loads.ts
+++ b/src/coordination/load-spread/team-loads.ts
@@ -7,8 +7,6 @@
 import { waitingCount } from "../../storage/records.js";
 import type { Context } from "../context.js";
 
-/** Guards against rounding a part of a quota up by a whole millionth. */
-const ROUNDING = 1e-6;
 /** Waiting tasks beyond this say nothing more about an owner's load. */
 const MOST_WAITING_UNITS = 1000;
 
@@ -19,9 +17,8 @@
 export const quotaPart = (team: Team, needs: Pick<Resources, "cpus" | "gpus">): number =>
   Math.max(partOf(needs.cpus, team.cpusMax), partOf(needs.gpus, team.gpusMax));
 
-/** Rounded up, so that what is in use is never taken for less. */
-export const quotaShare = (part: number): Share =>
-  share(Math.ceil(Math.max(0, part) * WHOLE - ROUNDING));
+/** A part of a quota as a share; what rounding takes away is less than any task needs. */
+export const quotaShare = (part: number): Share => share(Math.round(Math.max(0, part) * WHOLE));
 
 interface Sums {
   jobs: number;
--- a/src/coordination/placement-round.ts
+++ b/src/coordination/placement-round.ts
@@ -34,7 +34,9 @@
 
 /** How much of a page the open attempts of one job may fill. */
 const PAGE_PART = 0.9;
+/** Sums of decimals drift, and shares of a limit are rounded: by less than any task needs. */
 const LIMIT_TOLERANCE = 1e-9;
+const SHARE_TOLERANCE = 1e-8;
 
 /** One job's turn in a round. */
 interface Turn {
@@ -185,6 +187,7 @@
     const accepted = ctx.replica.accepted.get(id);
     if (team === undefined || accepted === undefined) return true;
     const turn = this.#turn(queued);
+    const most = this.#mostOf(team);
     const taken = new Set(job.open.map((o) => o.index));
     const mostBytes = pageLimit({ ...ctx.settings.state, size: ctx.settings.size }) * PAGE_PART;
     const named = new Set(job.open.map((o) => o.machine));
@@ -196,8 +199,7 @@
     for (const index of rangesMissing(job.done, spec.tasks, taken)) {
       if (turn.starts.length >= mostStarts) break;
       const after = plus(used, spec.needs);
-      if (after.cpus > team.cpusMax + LIMIT_TOLERANCE) break;
-      if (after.gpus > team.gpusMax + LIMIT_TOLERANCE) break;
+      if (after.cpus > most.cpus || after.gpus > most.gpus) break;
       const task = taskId(id, index);
       const outcome = this.#placeTask(task, turn);
       if (outcome.kind === "stop") break;
@@ -229,6 +231,17 @@
     return true;
   }
 
+  /** The most that a team's open attempts may take in this shard. */
+  #mostOf(team: Team): { readonly cpus: number; readonly gpus: number } {
+    const whole = this.owned.ctx.teams.get(team.name) ?? team;
+    const rounding = (limit: number): number =>
+      this.owned.ctx.quotas.divided ? SHARE_TOLERANCE * limit : 0;
+    return {
+      cpus: team.cpusMax + LIMIT_TOLERANCE + rounding(whole.cpusMax),
+      gpus: team.gpusMax + LIMIT_TOLERANCE + rounding(whole.gpusMax),
+    };
+  }
+
   /** False if the batch is full. A cancel that comes first must win. */
   #write(id: JobId, rev: Revision, draft: LiveJob): boolean {
     const { batch, shard, drafts } = this.round;
--- a/src/coordination/quotas.ts
+++ b/src/coordination/quotas.ts
@@ -1,5 +1,5 @@
 import type { ShardId, TeamName } from "@umberfold/ids";
-import { shareOf, WHOLE } from "@umberfold/spans";
+import { usableShare, WHOLE } from "@umberfold/spans";
 import type { Team } from "../cli/settings.js";
 import type { Replica } from "../storage/replica.js";
 
@@ -54,6 +54,6 @@
     if (record === undefined) return home === shard ? 1 : 0;
     const span = record.value;
     // A span of another home was written by somebody else: it says nothing of this team.
-    return span === undefined || span.home !== home ? 0 : shareOf(span, shard) / WHOLE;
+    return span === undefined || span.home !== home ? 0 : usableShare(span, shard) / WHOLE;
   }
 }
--- a/test/load-spread-days.test.ts
+++ b/test/load-spread-days.test.ts
@@ -182,3 +182,101 @@
     assert.equal(w.stored("now/span/t0"), undefined, "the span drained home again");
     check?.();
   });
+
+test("a burst whose jobs are called off while controllers end: confirmed cancellations hold", async () => {
+  const w = new World(321, { ...calm, crashes: true, cancelNow: true, lateCopies: true }, SCALE);
+  const ids = scheduleBurst(w, { ...small, cancelAfterMs: 12_000 }, FIRST_BURST_ID);
+  await w.day(JOBS);
+  assert.deepEqual(w.broken, []);
+  assert.ok(
+    ids.some((id) => w.jobs.get(id)?.told === "cancelled"),
+    "some were called off in time",
+  );
+  assert.ok(w.met.cancelledAtOnce > 0);
+  assert.ok(widest(ofTeam(w, "t0")) > 1, "the team's span grew");
+  checkSpans(w);
+});
+
+const foreign: readonly (readonly [string, unknown])[] = [
+  ["of another version", { f: 9 }],
+  [
+    "with more than the whole",
+    {
+      f: 1,
+      h: 0,
+      e: [
+        [0, 0, WHOLE, WHOLE, WHOLE],
+        [1, 0, WHOLE, 0, 0],
+      ],
+    },
+  ],
+  ["of another home", { f: 1, h: 2, e: [[2, 0, WHOLE, WHOLE, WHOLE]] }],
+  ["of no shape at all", "none"],
+];
+for (const [name, value] of foreign)
+  test(`a foreign span ${name} raises no limit and is replaced`, async () => {
+    const w = new World(322, calm, SCALE);
+    scheduleBurst(w, { ...small, jobs: 150, withinMs: 20_000 }, FIRST_BURST_ID);
+    // In the middle of the burst, while shares are spread and attempts are open.
+    w.clock.after(45_000, () => void w.meddle("now/span/t0", value));
+    w.clock.after(60_000, () => void w.meddle("now/span/t1", value));
+    await w.day(JOBS);
+    assert.deepEqual(w.broken, []);
+    assert.deepEqual(unended(w), []);
+    const written = w.spans.filter((s) => s.team === "t0" && s.at >= 45_000);
+    assert.deepEqual(written[0]?.value, value);
+    const replaced = parseSpan(written[1]?.value, SCALE.nodes);
+    assert.ok(replaced !== undefined && replaced.home === 0);
+    assert.ok(replaced.entries.length > 1, "what is open elsewhere keeps its share");
+    assert.equal(w.stored("now/span/t0"), undefined);
+    assert.equal(w.stored("now/span/t1"), undefined);
+  });
+
+test("switched off between restarts spans drain home, and switched on again they grow anew", async () => {
+  const w = new World(323, calm, SCALE);
+  scheduleBurst(w, small, FIRST_BURST_ID);
+  scheduleBurst(w, { ...small, atMs: 155_000, jobs: 60 }, SECOND_BURST_ID);
+  const { loadSpread } = w.packages;
+  const restart = (enabled: boolean): void => {
+    w.packages = { loadSpread: { ...loadSpread, enabled } };
+    for (let n = 0; n < SCALE.nodes; n++) w.crash(n, 500);
+  };
+  let spannedAtSwitch = 0;
+  let drained = false;
+  w.clock.after(40_000, () => {
+    spannedAtSwitch = widest(ofTeam(w, "t0").slice(-1));
+    restart(false);
+  });
+  w.clock.after(150_000, () => {
+    drained = w.stored("now/span/t0") === undefined;
+    restart(true);
+  });
+  await w.day(JOBS);
+  assert.deepEqual(w.broken, []);
+  assert.deepEqual(unended(w), []);
+  assert.ok(spannedAtSwitch > 1, "there was a span when it was switched off");
+  assert.ok(drained, "it drained home while off");
+  const late = w.spans.filter((s) => s.team === "t0" && s.at > 155_000);
+  assert.ok(late.length > 0, "it grew again");
+});
+
+test("a burst changes spans a bounded number of times", async () => {
+  const w = new World(324, calm, SCALE);
+  scheduleBurst(w, { ...small, jobs: 200 }, FIRST_BURST_ID);
+  await w.day(JOBS);
+  assert.deepEqual(w.broken, []);
+  const last = Math.max(...w.spans.map((s) => s.at));
+  const perSecond = w.spans.length / ((last - BURST_MS) / 1000);
+  assert.ok(w.spans.length > 0 && perSecond < 1, `${perSecond} writes of spans a second`);
+});
+
+test("switched off, nothing of it is written and no task of it runs", async () => {
+  const { loadSpread: _off, ...off } = calm;
+  const w = new World(325, off, SCALE);
+  scheduleBurst(w, small, FIRST_BURST_ID);
+  await w.day(JOBS);
+  assert.deepEqual(w.broken, []);
+  assert.equal(w.spans.length, 0);
+  assert.equal(w.taskNames.has("load-spread"), false);
+  assert.ok(w.taskNames.has("fleet"), "other tasks run");
+});
--- /dev/null
+++ b/test/packages.test.ts
@@ -0,0 +1,53 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import test from "node:test";
+import {
+  checkAgainstShards,
+  checkPackages,
+  defaultPackages,
+  parsePackages,
+} from "../src/cli/packages.js";
+
+const refused: readonly (readonly [string, unknown, RegExp])[] = [
+  ["an unknown block", { load_spreading: {} }, /load_spreading: is not a known setting/],
+  ["an unknown setting", { load_spread: { span: 2 } }, /load_spread\.span: is not a known/],
+  ["a block twice", { load_spread: [{}, {}] }, /appears twice/],
+  ["no block", { load_spread: 1 }, /must be a block/],
+  ["a negative cost", { load_spread: { load_cost: -1 } }, /load_cost: must be a number, 0 to/],
+  ["a negative transfer cost", { load_spread: { transfer_cost: -0.1 } }, /transfer_cost/],
+  ["a span of nothing", { load_spread: { max_span: 0 } }, /max_span: must be a number, 1 to/],
+  ["a broken span", { load_spread: { max_span: 1.5 } }, /max_span: must be a whole number/],
+  [
+    "shares that don't add up",
+    { load_spread: { max_span: 4, min_share: 0.3 } },
+    /max_span times min_share is more than the whole/,
+  ],
+  ["a switch that is no switch", { load_spread: { enabled: "yes" } }, /enabled: must be true/],
+];
+for (const [name, raw, fault] of refused)
+  test(`packages file refused by name: ${name}`, () => {
+    const checked = checkPackages(raw as Readonly<Record<string, unknown>>);
+    assert.ok(!checked.ok);
+    assert.match(checked.faults.join("\n"), fault);
+  });
+
+test("a span beyond the shards is refused where it is on", () => {
+  const { loadSpread } = defaultPackages();
+  const on = { loadSpread: { ...loadSpread, enabled: true, maxSpan: 4 } };
+  assert.match(checkAgainstShards(on, 3).join(), /load_spread\.max_span: 4, but there are 3/);
+  assert.deepEqual(checkAgainstShards(on, 4), []);
+  assert.deepEqual(checkAgainstShards(defaultPackages(), 1), []);
+});
+
+test("the file in deploy/ and what the build made of it say the same, and all is off", async () => {
+  const hcl = await parsePackages("a.hcl", readFileSync("deploy/packages.hcl", "utf8"));
+  const json = await parsePackages("a.json", readFileSync("target/packages.json", "utf8"));
+  assert.deepEqual(hcl, json);
+  assert.ok(hcl.ok && !hcl.value.loadSpread.enabled);
+});
+
+for (const text of ["", "[", "1", "null"])
+  test(`packages file of the build that can't be read: ${text}`, async () => {
+    const parsed = await parsePackages("a.json", text);
+    assert.ok(!parsed.ok);
+  });
--- /dev/null
+++ b/test/quotas.test.ts
@@ -0,0 +1,81 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { revision, shardId, teamName } from "@umberfold/ids";
+import { WHOLE } from "@umberfold/spans";
+import { Quotas } from "../src/coordination/quotas.js";
+import { teamsValue } from "../src/storage/cluster-records.js";
+import { keys } from "../src/storage/records.js";
+import { Replica } from "../src/storage/replica.js";
+
+const TEAM = teamName("ops one");
+const HOME = shardId(0);
+const HALF = WHOLE / 2;
+const SHARDS = 3;
+const ANY = Number.POSITIVE_INFINITY;
+
+const halves = {
+  f: 1,
+  h: 0,
+  e: [
+    [0, 0, HALF, HALF, 0],
+    [1, 0, HALF, HALF, 0],
+  ],
+};
+
+/** What of a limit of 24 and a guarantee of 8 processors each shard may use. */
+const cases: readonly {
+  readonly name: string;
+  readonly span?: unknown;
+  readonly most: readonly number[];
+  readonly guarantee: readonly number[];
+}[] = [
+  // No other team spans anything either: each shard is asked about its own teams alone.
+  { name: "no span", most: [24, 24, 24], guarantee: [8, 8, 8] },
+  { name: "halves", span: halves, most: [12, 12, 0], guarantee: [4, 4, 0] },
+  { name: "a span that can't be read", span: { f: 2 }, most: [0, 0, 0], guarantee: [0, 0, 0] },
+  {
+    name: "a span of another home",
+    span: { f: 1, h: 1, e: [[1, 0, WHOLE, WHOLE, 0]] },
+    most: [0, 0, 0],
+    guarantee: [0, 0, 0],
+  },
+  {
+    name: "a shard beyond the shards",
+    span: {
+      f: 1,
+      h: 0,
+      e: [
+        [0, 0, HALF, HALF, 0],
+        [9, 0, HALF, HALF, 0],
+      ],
+    },
+    most: [0, 0, 0],
+    guarantee: [0, 0, 0],
+  },
+];
+
+const quotasOf = (span: unknown, cpusMax: number): Quotas => {
+  const replica = new Replica(SHARDS);
+  const home = teamsValue(new Map([[TEAM, HOME]]));
+  replica.apply({ kind: "put", key: keys.teams, value: home, rev: revision(1) });
+  if (span !== undefined)
+    replica.apply({ kind: "put", key: keys.span(TEAM), value: span, rev: revision(2) });
+  const team = { name: TEAM, cpus: 8, gpus: 0, cpusMax, gpusMax: ANY };
+  return new Quotas(replica, new Map([[TEAM, team]]));
+};
+
+for (const { name, span, most, guarantee } of cases)
+  test(`quotas by shard: ${name}`, () => {
+    const quotas = quotasOf(span, 24);
+    for (let n = 0; n < SHARDS; n++) {
+      const team = quotas.teamsOf(shardId(n)).get(TEAM);
+      assert.equal(team?.cpusMax, most[n]);
+      assert.equal(team?.cpus, guarantee[n]);
+      assert.equal(team?.gpusMax, ANY);
+    }
+  });
+
+test("another limit in the settings holds at once, divided as before", () => {
+  assert.equal(quotasOf(halves, 10).teamsOf(shardId(1)).get(TEAM)?.cpusMax, 5);
+  assert.equal(quotasOf(halves, ANY).teamsOf(shardId(1)).get(TEAM)?.cpusMax, ANY);
+});
--- a/test/sim/burst.ts
+++ b/test/sim/burst.ts
@@ -5,7 +5,8 @@
 export interface Burst {
   readonly team: string;
   readonly atMs: number;
-  /** So many jobs of so many tasks each, within a few seconds. */
+  /** So many jobs of so many tasks each, within a few seconds or this time. */
+  readonly withinMs?: number;
   readonly jobs: number;
   readonly tasks: number;
   /** Jobs whose number is divisible by three fail on days of mistakes; others never do. */
@@ -45,7 +46,7 @@
     if ((number % 3 === 0) !== (burst.failing ?? false)) continue;
     const id = `wk-${String(number).padStart(6, "0")}`;
     ids.push(id);
-    const atMs = burst.atMs + (WITHIN_MS * ids.length) / burst.jobs;
+    const atMs = burst.atMs + ((burst.withinMs ?? WITHIN_MS) * ids.length) / burst.jobs;
     world.clock.after(
       atMs,
       () => void world.user(id, specOf(id, burst), burst.cancelAfterMs ?? null),
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -123,6 +123,8 @@
   packages: PackageSettings;
   /** Every span that was written, by team, with its time; null where one was taken away. */
   readonly spans: { readonly team: string; readonly at: number; readonly value: unknown }[] = [];
+  /** The periodic tasks that controllers run. */
+  readonly taskNames = new Set<string>();
   /** Calls of the whole day by kind, for bounding work by counts. */
   readonly calls = { state: 0, workers: 0, heartbeats: 0 };
 
@@ -475,6 +477,7 @@
         await this.clock.sleep(Math.max(1, p.everyMs));
       }
     };
+    for (const p of node.tasks) this.taskNames.add(p.name);
     for (const p of node.tasks) if (p.name !== "stats") void loop(p);
   }
 
--- a/test/start.test.ts
+++ b/test/start.test.ts
@@ -30,3 +30,24 @@
       rmSync(dir, { recursive: true });
     }
   });
+
+test("a package that is off is not loaded: the program checks its settings without its file", () => {
+  const dir = mkdtempSync(path.join(tmpdir(), "start-"));
+  try {
+    mkdirSync(path.join(dir, "target"));
+    for (const file of ["start.cjs", "umberfold.cjs", "umberfold.cache", "packages.json"])
+      copyFileSync(path.join("target", file), path.join(dir, "target", file));
+    copyFileSync("package.json", path.join(dir, "package.json"));
+    const out = execFileSync(process.execPath, [
+      path.join(dir, "target", "start.cjs"),
+      "--packages",
+      path.join(dir, "target", "packages.json"),
+      "--check",
+      "--config",
+      path.join("target", "build-settings.toml"),
+    ]);
+    assert.match(out.toString(), /settings are valid/);
+  } finally {
+    rmSync(dir, { recursive: true });
+  }
+});
