--- a/src/cli/packages.ts
+++ b/src/cli/packages.ts
@@ -30,7 +30,7 @@
   { name: "share_step", key: "shareStep", least: 0.001, most: 1, fallback: 0.05 },
   { name: "load_cost", key: "loadCost", least: 0, most: 1e6, fallback: 1 },
   { name: "transfer_cost", key: "transferCost", least: 0, most: 1e6, fallback: 0.1 },
-  { name: "solver_cells", key: "solverCells", least: 0, most: 1e6, fallback: 400, whole: true },
+  { name: "solver_cells", key: "solverCells", least: 0, most: 1e6, fallback: 60, whole: true },
   { name: "solver_ms", key: "solverMs", least: 0, most: 10_000, fallback: 20 },
   { name: "period_ms", key: "periodMs", least: 50, most: 60_000, fallback: 1000 },
 ];
--- a/src/coordination/fair-queue.ts
+++ b/src/coordination/fair-queue.ts
@@ -11,6 +11,12 @@
   readonly mostStarts?: number;
 }
 
+/**
+ * A team that spans several shards is judged by what it has in all of them: what it has here, by the
+ * part of its quota that is here. (Judged by this shard alone, a burst that had just come to a shard
+ * went before the team at home there.) A smaller part is taken for this one.
+ */
+const LEAST_PART = 0.01;
 /** Tasks that turns are made for; what a transaction holds is of this order. */
 const MOST_TASKS = 256;
 
@@ -42,40 +48,97 @@
 const severalTeams = (run: readonly Queued[]): boolean =>
   run.some((q) => q.job.spec.team !== run[0]?.job.spec.team);
 
+type FairTurns = (input: FairTurnInput) => readonly FairTurn[];
+
+interface Room {
+  readonly capacity: Resources;
+  readonly shares: ReadonlyMap<TeamName, number>;
+}
+
+/** The turns of one class's jobs, in a queue that is taken from task by task. */
+class ClassTurns {
+  readonly #turns: { readonly queued: Queued; left: number }[] = [];
+
+  constructor(run: readonly Queued[], fairTurns: FairTurns, { capacity, shares }: Room) {
+    const byId = new Map(run.map((q) => [q.id, q]));
+    const jobs = run.map((q) => ({
+      id: q.id,
+      team: q.job.spec.team,
+      tasks: waitingCount(q.job),
+      dominant: dominantShare(q.job.spec.needs, capacity),
+    }));
+    for (const turn of fairTurns({ jobs, shares, mostTasks: MOST_TASKS })) {
+      const queued = byId.get(turn.id);
+      if (queued !== undefined) this.#turns.push({ queued, left: turn.tasks });
+    }
+  }
+
+  /** The next turns, for so many tasks together. */
+  *take(tasks: number): Iterable<QueueStep> {
+    let rest = tasks;
+    while (rest > 0) {
+      const turn = this.#turns[0];
+      if (turn === undefined) return;
+      const mostStarts = Math.min(rest, turn.left);
+      yield { ...turn.queued, mostStarts };
+      turn.left -= mostStarts;
+      rest -= mostStarts;
+      if (turn.left === 0) this.#turns.shift();
+    }
+  }
+}
+
+const byClass = (run: readonly Queued[]): ReadonlyMap<string, readonly Queued[]> => {
+  const out = new Map<string, Queued[]>();
+  for (const q of run) {
+    const jobs = out.get(q.job.spec.jobClass) ?? [];
+    out.set(q.job.spec.jobClass, jobs);
+    jobs.push(q);
+  }
+  return out;
+};
+
+/** A run in its order of slack between classes, with the turns within a class divided fairly. */
+function* fairRun(run: readonly Queued[], fairTurns: FairTurns, room: Room): Iterable<QueueStep> {
+  const classes = new Map<string, ClassTurns>();
+  for (const [jobClass, jobs] of byClass(run))
+    if (severalTeams(jobs)) classes.set(jobClass, new ClassTurns(jobs, fairTurns, room));
+  for (const q of run) {
+    const turns = classes.get(q.job.spec.jobClass);
+    if (turns === undefined) yield q;
+    else yield* turns.take(waitingCount(q.job));
+  }
+  // What the others can't use is not left idle: each comes once more without a bound.
+  for (const q of run) if (classes.has(q.job.spec.jobClass)) yield q;
+}
+
 /**
- * The queue with the room beyond guarantees divided fairly between the teams that wait. After the
- * fair turns each job comes once more without a bound: what the others can't use is not left idle.
+ * The queue with the room beyond guarantees divided fairly between the teams that wait with jobs of
+ * one class. Between classes slack decides as before: their objectives differ, and so does what
+ * waiting costs them.
  */
 export const fairQueue = (
   queue: readonly Queued[],
-  fairTurns: ((input: FairTurnInput) => readonly FairTurn[]) | undefined,
+  fairTurns: FairTurns | undefined,
   use: ReadonlyMap<TeamName, Resources>,
+  partOf: (team: TeamName) => number,
   places: Iterable<Place>,
 ): readonly QueueStep[] => {
   if (fairTurns === undefined) return queue;
   let capacity = NOTHING;
   for (const place of places) capacity = plus(capacity, place.capacity);
-  const shares = new Map([...use].map(([team, taken]) => [team, dominantShare(taken, capacity)]));
+  const shares = new Map(
+    [...use].map(([team, taken]) => {
+      const part = Math.max(LEAST_PART, partOf(team));
+      return [team, dominantShare(taken, capacity) / part];
+    }),
+  );
   const out: QueueStep[] = [];
   for (const run of runsOfSameStanding(queue)) {
     const [first] = run;
     if (first === undefined) continue;
-    if (first.withinGuarantee || first.overdue || !severalTeams(run)) {
-      out.push(...run);
-      continue;
-    }
-    const byId = new Map(run.map((q) => [q.id, q]));
-    const jobs = run.map((q) => ({
-      id: q.id,
-      team: q.job.spec.team,
-      tasks: waitingCount(q.job),
-      dominant: dominantShare(q.job.spec.needs, capacity),
-    }));
-    for (const turn of fairTurns({ jobs, shares, mostTasks: MOST_TASKS })) {
-      const queued = byId.get(turn.id);
-      if (queued !== undefined) out.push({ ...queued, mostStarts: turn.tasks });
-    }
-    out.push(...run);
+    if (first.withinGuarantee || first.overdue) out.push(...run);
+    else out.push(...fairRun(run, fairTurns, { capacity, shares }));
   }
   return out;
 };
--- a/src/coordination/placement-round.ts
+++ b/src/coordination/placement-round.ts
@@ -34,9 +34,6 @@
 
 /** How much of a page the open attempts of one job may fill. */
 const PAGE_PART = 0.9;
-/** Sums of decimals drift, and shares of a limit are rounded: by less than any task needs. */
-const LIMIT_TOLERANCE = 1e-9;
-const SHARE_TOLERANCE = 1e-8;
 
 /** One job's turn in a round. */
 interface Turn {
@@ -92,8 +89,10 @@
   run(): void {
     if (this.#places.size === 0) return;
     const use = this.#teamUse();
-    const fairTurns = this.owned.ctx.loadSpread?.fairTurns;
-    for (const step of fairQueue(this.#queue(), fairTurns, use, this.#places.values()))
+    const { loadSpread, quotas } = this.owned.ctx;
+    const partOf = (team: TeamName) => quotas.partOf(team, this.round.shard);
+    const places = this.#places.values();
+    for (const step of fairQueue(this.#queue(), loadSpread?.fairTurns, use, partOf, places))
       if (!this.#placeJob(step, use)) return;
   }
 
@@ -187,7 +186,7 @@
     const accepted = ctx.replica.accepted.get(id);
     if (team === undefined || accepted === undefined) return true;
     const turn = this.#turn(queued);
-    const most = this.#mostOf(team);
+    const most = ctx.quotas.mostOf(team);
     const taken = new Set(job.open.map((o) => o.index));
     const mostBytes = pageLimit({ ...ctx.settings.state, size: ctx.settings.size }) * PAGE_PART;
     const named = new Set(job.open.map((o) => o.machine));
@@ -195,9 +194,8 @@
     let next = job.nextAttempt;
     let used = use.get(spec.team) ?? NOTHING;
     const undo: (() => void)[] = [];
-    const mostStarts = step.mostStarts ?? Number.POSITIVE_INFINITY;
     for (const index of rangesMissing(job.done, spec.tasks, taken)) {
-      if (turn.starts.length >= mostStarts) break;
+      if (turn.starts.length === step.mostStarts) break;
       const after = plus(used, spec.needs);
       if (after.cpus > most.cpus || after.gpus > most.gpus) break;
       const task = taskId(id, index);
@@ -231,17 +229,6 @@
     return true;
   }
 
-  /** The most that a team's open attempts may take in this shard. */
-  #mostOf(team: Team): { readonly cpus: number; readonly gpus: number } {
-    const whole = this.owned.ctx.teams.get(team.name) ?? team;
-    const rounding = (limit: number): number =>
-      this.owned.ctx.quotas.divided ? SHARE_TOLERANCE * limit : 0;
-    return {
-      cpus: team.cpusMax + LIMIT_TOLERANCE + rounding(whole.cpusMax),
-      gpus: team.gpusMax + LIMIT_TOLERANCE + rounding(whole.gpusMax),
-    };
-  }
-
   /** False if the batch is full. A cancel that comes first must win. */
   #write(id: JobId, rev: Revision, draft: LiveJob): boolean {
     const { batch, shard, drafts } = this.round;
--- a/src/coordination/quotas.ts
+++ b/src/coordination/quotas.ts
@@ -1,8 +1,13 @@
 import type { ShardId, TeamName } from "@umberfold/ids";
 import { usableShare, WHOLE } from "@umberfold/spans";
 import type { Team } from "../cli/settings.js";
+import type { Resources } from "../protocol/jobs.js";
 import type { Replica } from "../storage/replica.js";
 
+/** Sums of decimals drift, and shares of a limit are rounded: by less than any task needs. */
+const LIMIT_TOLERANCE = 1e-9;
+const SHARE_TOLERANCE = 1e-8;
+
 const scaled = (most: number, part: number): number =>
   most === Number.POSITIVE_INFINITY ? most : most * part;
 
@@ -35,7 +40,7 @@
     if (known !== undefined) return known;
     const out = new Map<TeamName, Team>();
     for (const [name, team] of this.teams) {
-      const part = this.#partOf(name, shard);
+      const part = this.partOf(name, shard);
       out.set(name, {
         name,
         cpus: team.cpus * part,
@@ -48,7 +53,18 @@
     return out;
   }
 
-  #partOf(team: TeamName, shard: ShardId): number {
+  /** The most that a team's open attempts may take, by its limit as it holds for a shard. */
+  mostOf(team: Team): Pick<Resources, "cpus" | "gpus"> {
+    const whole = this.teams.get(team.name) ?? team;
+    const rounding = (limit: number): number => (this.divided ? SHARE_TOLERANCE * limit : 0);
+    return {
+      cpus: team.cpusMax + LIMIT_TOLERANCE + rounding(whole.cpusMax),
+      gpus: team.gpusMax + LIMIT_TOLERANCE + rounding(whole.gpusMax),
+    };
+  }
+
+  /** What part of a team's quota the shard may use. */
+  partOf(team: TeamName, shard: ShardId): number {
     const home = this.replica.teams?.value.get(team);
     const record = this.replica.spans.records.get(team);
     if (record === undefined) return home === shard ? 1 : 0;
--- /dev/null
+++ b/test/loopback/stand-ins.ts
@@ -0,0 +1,141 @@
+import type http from "node:http";
+import type { AddressInfo } from "node:net";
+import { makeLogger } from "../../src/observability/log.js";
+import { Caller } from "../../src/transport/client.js";
+import { decodeBody, makeServer, type Request } from "../../src/transport/server.js";
+import { FakeCloud, type Rented } from "../sim/fakes/cloud.js";
+import type { Body, Out } from "../sim/fakes/message.js";
+import { FakeStateStore } from "../sim/fakes/state-store.js";
+import { FakeWorker } from "../sim/fakes/worker.js";
+import type { History } from "./history.js";
+import type { RealClock } from "./real-clock.js";
+
+/** Machines of one type: the stand-in cloud offers as many as it is told. */
+export const MACHINE_CPUS = 8;
+const BOOT_MS = [2000, 5000] as const;
+const BOOT_S = 4;
+const STATE_MS = 3;
+const HEARTBEAT_MS = 4000;
+const MOST_CONNECTIONS = 20_000;
+
+const MACHINE_TYPE = {
+  label: "w8",
+  cpus: MACHINE_CPUS,
+  gpus: 0,
+  ramGb: 32,
+  cacheGb: 30,
+  pullGbPerS: 1,
+  price: 1,
+  spotPrice: 0.5,
+  bootS: BOOT_S,
+  mills: ["a", "b"],
+};
+
+const log = makeLogger("error", { node: "stand-in" });
+
+type Handle = (method: string, path: string, body: Body | undefined) => Out | Promise<Out>;
+
+const listen = async (handle: Handle): Promise<{ server: http.Server; address: string }> => {
+  const answer = async ({ method, path, bytes }: Request) => {
+    const body = bytes.length === 0 ? undefined : decodeBody(bytes);
+    return handle(method, path, body?.ok === true ? (body.value as Body) : undefined);
+  };
+  const server = makeServer(answer, MOST_CONNECTIONS, log);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` };
+};
+
+export interface StandInOptions {
+  readonly workers: number;
+  readonly leaseMs: number;
+  readonly runMs: readonly [number, number];
+  /** Labels and addresses of the controllers that workers report to. */
+  readonly controllers: ReadonlyMap<string, string>;
+}
+
+/** State service, cloud and workers behind real sockets on the loopback range. */
+export class StandIns {
+  readonly workers = new Map<string, FakeWorker>();
+  stateAddress = "";
+  cloudAddress = "";
+  readonly state: FakeStateStore;
+  readonly #cloud: FakeCloud;
+  readonly #servers = new Map<string, http.Server>();
+  readonly #calls = new Caller(MOST_CONNECTIONS, MOST_CONNECTIONS);
+  readonly #images = new Map<string, Set<string>>();
+
+  constructor(
+    private readonly clock: RealClock,
+    private readonly history: History,
+    private readonly options: StandInOptions,
+    private readonly imageOf: (task: string) => string,
+  ) {
+    this.state = new FakeStateStore(clock);
+    this.#cloud = new FakeCloud(
+      [MACHINE_TYPE],
+      options.workers,
+      (machine) => clock.after(clock.between(...BOOT_MS), () => void this.#boot(machine)),
+      (id) => this.#end(id),
+    );
+    this.#cloud.endpointOf = (id) => this.workers.get(id)?.endpoint ?? "127.0.0.1:1";
+  }
+
+  async start(): Promise<void> {
+    const state = await listen(async (method, path, body) => {
+      await this.clock.sleep(STATE_MS);
+      return this.state.handle(method, path, body);
+    });
+    const cloud = await listen((_method, path, body) => this.#cloud.handle(path, body));
+    this.#servers.set("state", state.server).set("cloud", cloud.server);
+    this.stateAddress = state.address;
+    this.cloudAddress = cloud.address;
+  }
+
+  stop(): void {
+    for (const id of [...this.workers.keys()]) this.#end(id);
+    for (const server of this.#servers.values()) {
+      server.close();
+      server.closeAllConnections();
+    }
+    this.#calls.close();
+  }
+
+  async #boot(machine: Rented): Promise<void> {
+    if (!this.#cloud.up.has(machine.id)) return;
+    const labels = [...this.options.controllers.keys()];
+    const worker = new FakeWorker(this.clock, machine, labels, this.options.leaseMs, {
+      began: (_worker, task) => this.#began(machine.id, task),
+      left: (_worker, task) => this.history.left(machine.id, task),
+      runMs: () => this.clock.between(...this.options.runMs),
+      fails: () => false,
+      heartbeat: (label, report) => this.#heartbeat(label, report),
+    });
+    worker.reportsAtOnce = true;
+    this.workers.set(machine.id, worker);
+    const { server, address } = await listen((_method, path, body) => worker.handle(path, body));
+    worker.endpoint = address;
+    this.#servers.set(machine.id, server);
+  }
+
+  #began(id: string, task: string): void {
+    const image = this.imageOf(task);
+    const images = this.#images.get(id) ?? new Set<string>();
+    this.#images.set(id, images);
+    this.history.began(id, task, images.has(image));
+    images.add(image);
+  }
+
+  async #heartbeat(label: string, report: Body): Promise<Out | undefined> {
+    const address = this.options.controllers.get(label) ?? "";
+    const reply = await this.#calls.call(address, "POST", "/agent/beat", report, HEARTBEAT_MS);
+    return reply.kind === "answer" ? { status: reply.status, body: reply.body } : undefined;
+  }
+
+  #end(id: string): void {
+    this.workers.get(id)?.die();
+    this.workers.delete(id);
+    this.#servers.get(id)?.close();
+    this.#servers.get(id)?.closeAllConnections();
+    this.#servers.delete(id);
+  }
+}
--- /dev/null
+++ b/test/measure/planner.ts
@@ -0,0 +1,98 @@
+import { shardId, teamName } from "@umberfold/ids";
+import {
+  greedyPlan,
+  type LoadSpreadSettings,
+  type PlanInput,
+  planCost,
+  planInput,
+  type ShardLoad,
+  solvePlan,
+  type TeamLoad,
+} from "@umberfold/load-spread";
+import { homeSpan, share, stepSpan, WHOLE } from "@umberfold/spans";
+import { build } from "hdr-histogram-js";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { defaultPackages } from "../../src/cli/packages.js";
+
+/** Solver and proportional plan on the same random inputs: what each costs, and how long it takes. */
+const RUNS = 200;
+const SOLVER_MS = 1000;
+const SIZES = [
+  { teams: 1, shards: 2 },
+  { teams: 1, shards: 4 },
+  { teams: 4, shards: 4 },
+  { teams: 10, shards: 5 },
+  { teams: 20, shards: 8 },
+] as const;
+
+const rng = xoroshiro128plus(1);
+const random = (): number => uniformFloat64(rng);
+const settings: LoadSpreadSettings = { ...defaultPackages().loadSpread, enabled: true };
+
+const randomTeam = (n: number, shards: number): TeamLoad => {
+  let span = homeSpan(shardId(0));
+  const loads = new Map<ShardLoad["shard"], ShardLoad>();
+  for (let i = 0; i < shards; i++) {
+    const shard = shardId(i);
+    const stepped = stepSpan(span, { kind: "join", shard });
+    if (stepped.ok) span = stepped.span;
+    const open = Math.floor(random() * 50);
+    const waiting = Math.floor(random() * random() * 500);
+    const largest = share(Math.floor(random() * 0.05 * WHOLE));
+    const used = share(Math.floor((random() * WHOLE) / shards));
+    const demand = share(used + waiting * largest);
+    loads.set(shard, { shard, jobs: 1, open, waiting, used, demand, largest, oldest: random() });
+  }
+  return { team: teamName(`t${n}`), home: shardId(0), span, shards: loads };
+};
+
+const randomInput = (teams: number, shards: number): PlanInput => {
+  const owners = Array.from({ length: shards }, (_, i) => ({
+    owner: `n-${i}`,
+    shards: [shardId(i)],
+    units: Math.floor(random() * 500),
+  }));
+  const loads = Array.from({ length: teams }, (_, n) => randomTeam(n, shards));
+  return planInput(loads, owners, settings);
+};
+
+const timed = <T>(run: () => T): { readonly value: T; readonly microseconds: number } => {
+  const began = performance.now();
+  const value = run();
+  return { value, microseconds: Math.round((performance.now() - began) * 1000) };
+};
+
+for (const { teams, shards } of SIZES) {
+  const times = { solver: build(), greedy: build() };
+  let unsolved = 0;
+  let solverCost = 0;
+  let greedyCost = 0;
+  for (let i = 0; i < RUNS; i++) {
+    const input = randomInput(teams, shards);
+    const solved = timed(() => solvePlan(input, SOLVER_MS));
+    const greedy = timed(() => greedyPlan(input));
+    times.solver.recordValue(solved.microseconds);
+    times.greedy.recordValue(greedy.microseconds);
+    if (solved.value === undefined) {
+      unsolved++;
+      continue;
+    }
+    solverCost += planCost(input, solved.value);
+    greedyCost += planCost(input, greedy.value);
+  }
+  const solvedRuns = Math.max(1, RUNS - unsolved);
+  console.log(
+    JSON.stringify({
+      teams,
+      shards,
+      runs: RUNS,
+      unsolved,
+      meanCost: { solver: solverCost / solvedRuns, greedy: greedyCost / solvedRuns },
+      microseconds: {
+        solver: [50, 99].map((p) => times.solver.getValueAtPercentile(p)),
+        greedy: [50, 99].map((p) => times.greedy.getValueAtPercentile(p)),
+      },
+    }),
+  );
+}
--- a/test/sim/clock.ts
+++ b/test/sim/clock.ts
@@ -8,8 +8,17 @@
   readonly run: () => void;
 }
 
+/** What the stand-ins ask of time and chance, simulated or real. */
+export interface TimeSource {
+  readonly now: number;
+  random(): number;
+  between(a: number, b: number): number;
+  after(ms: number, run: () => void): void;
+  sleep(ms: number): Promise<void>;
+}
+
 /** Simulated time: events in order, each followed by all that it lets happen at once. */
-export class SimClock {
+export class SimClock implements TimeSource {
   now = 0;
   #n = 0;
   #due: Due[] = [];
--- a/test/sim/fakes/cloud.ts
+++ b/test/sim/fakes/cloud.ts
@@ -10,6 +10,8 @@
 /** The cloud that rents machines, after its published protocol. */
 export class FakeCloud {
   down = false;
+  /** The address that the list shows for a machine. */
+  endpointOf: (id: string) => string = (id) => `${id}:1`;
   #n = 0;
   readonly up = new Map<string, Rented>();
   readonly #answers = new Map<string, string[]>();
@@ -51,7 +53,7 @@
     }
     const looms = [...this.up.values()].map((m) => ({
       uid: m.id,
-      endpoint: `${m.id}:1`,
+      endpoint: this.endpointOf(m.id),
       frame: m.type,
       mill: m.zone,
       remnant: m.spot,
--- a/test/sim/fakes/state-store.ts
+++ b/test/sim/fakes/state-store.ts
@@ -1,4 +1,4 @@
-import type { SimClock } from "../clock.js";
+import type { TimeSource } from "../clock.js";
 
 import type { Body, Out } from "./message.js";
 
@@ -27,7 +27,7 @@
   #requests: { tokens: number; at: number } = { tokens: 0, at: 0 };
   onChange: (key: string) => void = () => undefined;
 
-  constructor(private readonly clock: SimClock) {}
+  constructor(private readonly clock: TimeSource) {}
 
   #expire(): void {
     for (const [id, l] of this.#leases) {
--- a/test/sim/fakes/worker.ts
+++ b/test/sim/fakes/worker.ts
@@ -1,4 +1,4 @@
-import type { SimClock } from "../clock.js";
+import type { TimeSource } from "../clock.js";
 
 import type { Rented } from "./cloud.js";
 import type { Body, Out } from "./message.js";
@@ -31,8 +31,12 @@
   mute = false;
   /** How long an image takes to come, from and to. */
   fetchMs: readonly [number, number] = [200, 1500];
+  /** Whether it reports to the controller that it is sent to at once, or with its next report. */
+  reportsAtOnce = false;
   /** A sabotaged worker executes commands whatever their token and session. */
   checksTokens = true;
+  /** Where direct commands reach it. */
+  endpoint: string;
   session = 1;
   seq = 0;
   token = 0;
@@ -42,12 +46,13 @@
   #changed = false;
 
   constructor(
-    private readonly clock: SimClock,
+    private readonly clock: TimeSource,
     readonly rented: Rented,
     private readonly nodes: readonly string[],
     private readonly leaseMs: number,
     private readonly hooks: WorkerHooks,
   ) {
+    this.endpoint = `${rented.id}:1`;
     this.#renewed = clock.now;
     this.#node = Math.floor(clock.random() * nodes.length);
     void this.#heartbeats();
@@ -79,7 +84,7 @@
   report(): Body {
     return {
       loom: this.rented.id,
-      endpoint: `${this.rented.id}:1`,
+      endpoint: this.endpoint,
       frame: this.rented.type,
       mill: this.rented.zone,
       remnant: this.rented.spot,
@@ -125,8 +130,10 @@
         continue;
       }
       const named = this.nodes.indexOf(String(body.foreman));
-      if (r?.status === 421 && named >= 0 && named !== this.#node) this.#node = named;
-      else {
+      if (r?.status === 421 && named >= 0 && named !== this.#node) {
+        this.#node = named;
+        this.#changed = this.reportsAtOnce;
+      } else {
         this.#node = (this.#node + 1) % this.nodes.length;
         await this.clock.sleep(1000);
       }
