Starts need not name the span's revision; an unreadable span is fenced before it is replaced

Cause: each start named the revision of its team's span, so every transfer and plan made the other owners' rounds in flight fail, and failed transactions count against the write limit.

What needed it, the replacing of an unreadable record, fences all owners by a write of the shards' records, which they must have seen before they act. Weights of new jobs are written at changes of three steps.

--- a/packages/load-spread/src/plan.ts
+++ b/packages/load-spread/src/plan.ts
@@ -131,6 +131,9 @@
   return UNMET_COST * unmet + input.costs.loadCost * busiest + input.costs.transferCost * moved;
 };
 
+/** Weights follow the owners' load, which swings: they are written at changes of so many steps. */
+const WEIGHT_STEPS = 3;
+
 /**
  * Whether a plan differs enough from the one in force to be written: by a step, or because a shard
  * could not run its largest task under the old one. At a steady load nothing is written.
@@ -144,6 +147,6 @@
   span.entries.some((e) => {
     const { target, weight } = plan.get(e.shard) ?? { target: 0, weight: 0 };
     if (e.target < (least.get(e.shard) ?? 0) && target > e.target) return true;
-    const change = Math.max(Math.abs(target - e.target), Math.abs(weight - e.weight));
-    return change >= step * WHOLE;
+    const reweighed = Math.abs(weight - e.weight) >= WEIGHT_STEPS * step * WHOLE;
+    return reweighed || Math.abs(target - e.target) >= step * WHOLE;
   });
--- a/src/coordination/batch.ts
+++ b/src/coordination/batch.ts
@@ -1,11 +1,4 @@
-import {
-  ABSENT,
-  type JobId,
-  type MachineId,
-  type Revision,
-  type ShardId,
-  type TeamName,
-} from "@umberfold/ids";
+import { ABSENT, type JobId, type MachineId, type Revision, type ShardId } from "@umberfold/ids";
 import { CONDITIONS_PER_OP, type Condition, type Op, type Txn } from "../protocol/store.js";
 import { fleetPageValue, MACHINE_BYTES, progressBytes, workPageValue } from "../storage/pages.js";
 import {
@@ -188,15 +181,6 @@
     return true;
   }
 
-  /** A start counts on what its shard holds of the team's quota: the span is as it was read. */
-  requireSpan(team: TeamName): boolean {
-    const key = keys.span(team);
-    if (this.#conditions.has(key)) return true;
-    if (!this.#admits(0, 0, 1)) return false;
-    this.#require(key, this.replica.rev(key));
-    return true;
-  }
-
   /** Ends a job: its final record is written once, in the same transaction that drops the rest. */
   finish(shard: ShardId, id: JobId, rev: Revision, final: FinalJob): boolean {
     if (!this.#admits(3, FINAL_BYTES, 4)) return false;
--- a/src/coordination/load-spread/span-records.ts
+++ b/src/coordination/load-spread/span-records.ts
@@ -1,4 +1,4 @@
-import type { TeamName } from "@umberfold/ids";
+import type { Revision, ShardId, TeamName } from "@umberfold/ids";
 import type { TeamLoad } from "@umberfold/load-spread";
 import {
   type Span,
@@ -11,7 +11,8 @@
   WHOLE,
 } from "@umberfold/spans";
 import type { Txn } from "../../protocol/store.js";
-import { keys } from "../../storage/records.js";
+import { type ControllerId, controllerIdValue, keys } from "../../storage/records.js";
+import type { Versioned } from "../../storage/versioned.js";
 import type { Context } from "../context.js";
 import type { LeaderRecords } from "../fleet/leader-records.js";
 
@@ -33,7 +34,7 @@
     const stepped = stepSpan(span, event);
     if (!stepped.ok) {
       this.counters.refused++;
-      this.ctx.log.info("span change refused", { team, event: event.kind, why: stepped.refusal });
+      this.ctx.log.info("span change refused", { team, change: event.kind, why: stepped.refusal });
       return false;
     }
     if (!(await this.#write(team, { kind: "put", value: spanValue(stepped.span) }))) return false;
@@ -46,7 +47,7 @@
       e.target,
       e.weight,
     ]);
-    this.ctx.log.info("span changed", { team, event: event.kind, shard, entries });
+    this.ctx.log.info("span changed", { team, change: event.kind, shard, entries });
     return true;
   }
 
@@ -58,11 +59,38 @@
   }
 
   /**
-   * Replaces a record that can't be read. Starts are conditional on the span that they count on, and
-   * under this one none is made, so what is open now is all that can be: each shard keeps that much,
-   * and the home shard gets the rest.
+   * Replaces a record that can't be read, in two steps. First every shard's record is written anew,
+   * with the owner that it has: whoever owns a shard acts on nothing before it has seen that write,
+   * and so the unreadable record, under which nothing of the team is started. What is open once all
+   * that has been seen is all that can be: each shard keeps that much, the home shard gets the rest.
    */
-  async repair(load: TeamLoad): Promise<void> {
+  async repair(load: TeamLoad, unreadable: Revision): Promise<void> {
+    const unfenced = [...this.ctx.replica.shards].filter(([, s]) => s.rev <= unreadable);
+    if (unfenced.length > 0) await this.#fence(load.team, unfenced);
+    else if (this.ctx.replica.position >= this.ctx.replica.latest) await this.#replace(load);
+  }
+
+  async #fence(
+    team: TeamName,
+    shards: readonly (readonly [ShardId, Versioned<ControllerId>])[],
+  ): Promise<void> {
+    const some = shards.slice(0, this.ctx.settings.state.txnOps);
+    const span = keys.span(team);
+    const written = await this.records.write({
+      conditions: [
+        { key: span, rev: this.ctx.replica.rev(span) },
+        ...some.map(([shard, { rev }]) => ({ key: keys.shard(shard), rev })),
+      ],
+      ops: some.map(([shard, { value }]) => ({
+        kind: "put" as const,
+        key: keys.shard(shard),
+        value: controllerIdValue(value),
+      })),
+    });
+    if (written) this.ctx.log.info("unreadable span fenced", { team, shards: some.length });
+  }
+
+  async #replace(load: TeamLoad): Promise<void> {
     const used = [...load.shards.values()].filter((s) => s.shard !== load.home);
     const elsewhere = sumOfShares(used.map((s) => s.used));
     const atHome = share(Math.max(0, WHOLE - elsewhere));
--- a/src/coordination/placement-round.ts
+++ b/src/coordination/placement-round.ts
@@ -233,9 +233,7 @@
   #write(id: JobId, rev: Revision, draft: LiveJob): boolean {
     const { batch, shard, drafts } = this.round;
     const { done, open, nextAttempt } = draft;
-    const { quotas } = this.owned.ctx;
     if (!batch.requireJob(id, rev)) return false;
-    if (quotas.divided && !batch.requireSpan(draft.spec.team)) return false;
     if (!batch.putJob(shard, id, { done, open, nextAttempt })) return false;
     drafts.set(id, draft);
     return true;
