--- a/test/loopback/users.ts
+++ b/test/loopback/users.ts
@@ -1,6 +1,7 @@
 import { randomExponential } from "d3-random";
 import { Caller } from "../../src/transport/client.js";
 import type { Body } from "../sim/fakes/message.js";
+import { smallJob } from "../sim/job-spec.js";
 import type { History, JobHistory } from "./history.js";
 import type { RealClock } from "./real-clock.js";
 
@@ -77,11 +78,7 @@
       doneAt: undefined,
     };
     this.history.jobs.set(id, job);
-    const spec: Body = {
-      ...{ uid: id, weave: "c", crew: team, pattern: "sweep", rank: "normal", threads: tasks },
-      ...{ cpus, gpus: 0, ramGb: 1, bolt: image, imageGb: 0.5, oneZone: false, apart: false },
-      ...{ remnant: true, expectS, knotS: 0, spoolS: 0 },
-    };
+    const spec = smallJob(id, team, { threads: tasks, cpus, bolt: image, expectS });
     while (!this.#stopped && job.acceptedAt === undefined) {
       const status = (await this.#ask("POST", "/work", spec))?.status;
       if (status === 200 || status === 201) job.acceptedAt = this.#now();
--- a/test/sim/burst.ts
+++ b/test/sim/burst.ts
@@ -1,4 +1,4 @@
-import type { Body } from "./fakes/message.js";
+import { smallJob } from "./job-spec.js";
 import type { World } from "./world.js";
 
 /** One team sends many times its load at once. */
@@ -16,27 +16,6 @@
 }
 
 const WITHIN_MS = 4000;
-const CPUS = 1;
-
-const specOf = (id: string, { team, tasks }: Burst): Body => ({
-  uid: id,
-  weave: "b",
-  crew: team,
-  pattern: "sweep",
-  rank: "normal",
-  threads: tasks,
-  cpus: CPUS,
-  gpus: 0,
-  ramGb: 1,
-  bolt: "img-b",
-  imageGb: 0.5,
-  oneZone: false,
-  apart: false,
-  remnant: true,
-  expectS: 10,
-  knotS: 0,
-  spoolS: 0,
-});
 
 /** Schedules a burst; its jobs' numbers begin at `firstId`. Returns their ids. */
 export const scheduleBurst = (world: World, burst: Burst, firstId: number): readonly string[] => {
@@ -49,7 +28,12 @@
     const atMs = burst.atMs + ((burst.withinMs ?? WITHIN_MS) * ids.length) / burst.jobs;
     world.clock.after(
       atMs,
-      () => void world.user(id, specOf(id, burst), burst.cancelAfterMs ?? null),
+      () =>
+        void world.user(
+          id,
+          smallJob(id, burst.team, { weave: "b", threads: burst.tasks }),
+          burst.cancelAfterMs ?? null,
+        ),
     );
   }
   return ids;
--- /dev/null
+++ b/test/sim/job-spec.ts
@@ -0,0 +1,23 @@
+import type { Body } from "./fakes/message.js";
+
+/** A submission of small tasks without special wishes, in the wire's words; `more` replaces fields. */
+export const smallJob = (uid: string, crew: string, more: Body = {}): Body => ({
+  uid,
+  weave: "c",
+  crew,
+  pattern: "sweep",
+  rank: "normal",
+  threads: 1,
+  cpus: 1,
+  gpus: 0,
+  ramGb: 1,
+  bolt: "img-b",
+  imageGb: 0.5,
+  oneZone: false,
+  apart: false,
+  remnant: true,
+  expectS: 10,
+  knotS: 0,
+  spoolS: 0,
+  ...more,
+});
--- a/test/sim/world.ts
+++ b/test/sim/world.ts
@@ -13,6 +13,7 @@
 import { FakeStateStore } from "./fakes/state-store.js";
 import { FakeWorker } from "./fakes/worker.js";
 import type { Gap, Sabotage, Scale, Trouble } from "./faults.js";
+import { smallJob } from "./job-spec.js";
 import {
   CANCEL_MS,
   GUEST_TEAM,
@@ -696,25 +697,14 @@
   #guest(firstId: number): void {
     for (let i = 0; i <= GUEST_JOBS; i++) {
       const id = `wk-${String(firstId + i + 1).padStart(6, "0")}`;
-      const spec: Body = {
-        uid: id,
+      const spec = smallJob(id, GUEST_TEAM, {
         weave: "g",
-        crew: GUEST_TEAM,
-        pattern: "sweep",
         rank: "best_effort",
         threads: i === 0 ? GUEST_ARRAY : 1,
         cpus: 0.25,
-        gpus: 0,
         ramGb: 0.5,
         bolt: "img-g",
-        imageGb: 0.5,
-        oneZone: false,
-        apart: false,
-        remnant: true,
-        expectS: 10,
-        knotS: 0,
-        spoolS: 0,
-      };
+      });
       const cancel = i > 0 && i % 4 === 0 ? this.clock.between(500, 10_000) : null;
       this.met.guestJobs++;
       this.clock.after(20_000 + i * GUEST_EVERY_MS, () => void this.user(id, spec, cancel));
