An unreadable span is replaced by what is open once the fence has been seen

Cause: read again, the leader's look at open attempts could be older than its check that it had seen the fence, and under load that check (all that was heard of is in) might seldom hold. Change: the check names the fence's revisions, and the look follows it.

--- a/src/coordination/load-spread/load-spread.ts
+++ b/src/coordination/load-spread/load-spread.ts
@@ -103,7 +103,7 @@
     const { team, home } = load;
     const record = this.ctx.replica.spans.records.get(team);
     if (record !== undefined && record.value?.home !== home) {
-      await this.#spans.repair(load, record.rev);
+      await this.#spans.repair(team, record.rev);
       return true;
     }
     const now = steadyNow();
--- a/src/coordination/load-spread/span-records.ts
+++ b/src/coordination/load-spread/span-records.ts
@@ -15,6 +15,7 @@
 import type { Versioned } from "../../storage/versioned.js";
 import type { Context } from "../context.js";
 import type { LeaderRecords } from "../fleet/leader-records.js";
+import { teamLoads } from "./team-loads.js";
 
 /** The leader's writes of spans. None of them lowers a share: that is for the shard's owner alone. */
 export class SpanRecords {
@@ -64,10 +65,18 @@
    * and so the unreadable record, under which nothing of the team is started. What is open once all
    * that has been seen is all that can be: each shard keeps that much, the home shard gets the rest.
    */
-  async repair(load: TeamLoad, unreadable: Revision): Promise<void> {
-    const unfenced = [...this.ctx.replica.shards].filter(([, s]) => s.rev <= unreadable);
-    if (unfenced.length > 0) await this.#fence(load.team, unfenced);
-    else if (this.ctx.replica.position >= this.ctx.replica.latest) await this.#replace(load);
+  async repair(team: TeamName, unreadable: Revision): Promise<void> {
+    const { replica } = this.ctx;
+    const unfenced = [...replica.shards].filter(([, s]) => s.rev <= unreadable);
+    if (unfenced.length > 0) {
+      await this.#fence(team, unfenced);
+      return;
+    }
+    const fencedBy = Math.max(...[...replica.shards.values()].map((s) => s.rev));
+    if (replica.position < fencedBy) return;
+    // Added up now: an earlier look may lack what was started before the fence.
+    const load = teamLoads(this.ctx).find((l) => l.team === team);
+    if (load !== undefined) await this.#replace(load);
   }
 
   async #fence(
