Machines follow the teams' fair parts; a draining shard gives up its last share

Cause: on the loopback cluster (60 machines, six teams, one at ten times its load) the teams of a shard that the burst was not in waited 12 s at the median without the package, and 10 s in another shard with it: once all machines were busy, none was idle to go to the shard that lacked them.

Change: the leader divides all machines' processors max-min fairly between what teams want within their limits, and asks shards with more than their part for machines; their owners start nothing more there and hand them over once they are empty (whenEmpty, a new field between controllers). Nothing is stopped for it. What drains comes to nothing however little is left.

--- a/packages/load-spread/src/index.ts
+++ b/packages/load-spread/src/index.ts
@@ -7,6 +7,7 @@
 export { greedyPlan } from "./greedy-planner.js";
 export { consolidated, leastShares } from "./least-shares.js";
 export type { OwnerLoad, ShardLoad, TeamLoad } from "./load.js";
+export { fairNeeds, type MachineShift, machineShifts } from "./machine-balance.js";
 export {
   type PlanInput,
   planCost,
--- a/packages/load-spread/src/load.ts
+++ b/packages/load-spread/src/load.ts
@@ -14,6 +14,8 @@
   /** The part that open and waiting tasks would take together, and the largest waiting task. */
   readonly demand: Share;
   readonly largest: Share;
+  /** Processors that open and waiting tasks take, those beyond the team's limit left out. */
+  readonly wantedCpus: number;
   /** When the oldest job that waits there was accepted; infinity if none waits. */
   readonly oldest: number;
 }
--- a/packages/load-spread/src/plan.ts
+++ b/packages/load-spread/src/plan.ts
@@ -136,7 +136,8 @@
 
 /**
  * Whether a plan differs enough from the one in force to be written: by a step, or because a shard
- * could not run its largest task under the old one. At a steady load nothing is written.
+ * could not run its largest task under the old one, or keeps what it no longer needs while it
+ * drains. At a steady load nothing is written.
  */
 export const worthWriting = (
   span: Span,
@@ -147,6 +148,8 @@
   span.entries.some((e) => {
     const { target, weight } = plan.get(e.shard) ?? { target: 0, weight: 0 };
     if (e.target < (least.get(e.shard) ?? 0) && target > e.target) return true;
+    // What drains must come to nothing, however little is left.
+    if (e.state === "draining" && target === 0 && e.target > 0) return true;
     const reweighed = Math.abs(weight - e.weight) >= WEIGHT_STEPS * step * WHOLE;
     return reweighed || Math.abs(target - e.target) >= step * WHOLE;
   });
--- a/packages/load-spread/src/settings.ts
+++ b/packages/load-spread/src/settings.ts
@@ -22,6 +22,8 @@
   readonly solverMs: number;
   /** How often the leader looks at the spans, and owners at what they owe to others. */
   readonly periodMs: number;
+  /** Whether shards give machines to others that lack their fair part, none being idle. */
+  readonly balanceMachines: boolean;
   /** Whether room beyond guarantees is divided fairly between the teams that wait. */
   readonly fairShares: boolean;
 }
--- a/packages/load-spread/test/load-spread.test.ts
+++ b/packages/load-spread/test/load-spread.test.ts
@@ -11,6 +11,7 @@
   LoadSpreadPlanner,
   type LoadSpreadSettings,
   leastShares,
+  machineShifts,
   NO_PRESSURE,
   nextTransfer,
   type OwnerLoad,
@@ -47,6 +48,7 @@
   transferCost: 0.1,
   solverCells: 400,
   solverMs: 1000,
+  balanceMachines: true,
   periodMs: 1000,
   fairShares: true,
 };
@@ -64,6 +66,7 @@
   used: share(0),
   demand: share(0),
   largest: share(0),
+  wantedCpus: 0,
   oldest: Number.POSITIVE_INFINITY,
   ...more,
 });
@@ -374,6 +377,21 @@
     );
   });
 
+/** A shard was left with one task's share for good, for that was less than a step. */
+test("a draining shard without jobs gives up its last share, however small", () => {
+  const drained = stepSpan(spanOf(OTHER), { kind: "drain", shard: OTHER });
+  assert.ok(drained.ok);
+  const small = stepSpan(drained.span, {
+    kind: "plan",
+    plan: new Map([plan(HOME, 990_000, 1_000_000), plan(OTHER, 10_000, 0)]),
+  });
+  assert.ok(small.ok);
+  const planner = new LoadSpreadPlanner(settings, () => 0);
+  const planned = planner.plan([teamLoad(small.span, [])], owners(1, 1)).get(TEAM);
+  assert.equal(planned?.get(OTHER)?.target, 0);
+  assert.equal(planned?.get(HOME)?.target, WHOLE);
+});
+
 // ---- Transfers ------------------------------------------------------------------------------
 
 test("a giver hands on what it neither uses nor is to keep, to whom lacks most", () => {
@@ -495,3 +513,43 @@
     { seed: SEED, numRuns: 300 },
   );
 });
+
+// ---- Machines -------------------------------------------------------------------------------
+
+const wants = (team: string, ...cpus: readonly number[]): TeamLoad => ({
+  ...teamLoad(
+    undefined,
+    cpus.map((wantedCpus, i) => shardLoad(shardId(i), { waiting: 1, wantedCpus })),
+  ),
+  team: teamName(team),
+});
+
+const shifts: readonly (readonly [string, readonly TeamLoad[], readonly number[], string[]])[] = [
+  [
+    "a shard whose quiet teams lack their fair part is given machines by the burst's",
+    [wants("burst", 1000, 0), wants("quiet", 0, 100)],
+    [260, 40],
+    ["0>1:30"],
+  ],
+  [
+    "no shard gives what its own teams need",
+    [wants("a", 100, 0), wants("b", 0, 100)],
+    [50, 50],
+    [],
+  ],
+  [
+    "nobody gives to a shard that lacks little",
+    [wants("a", 100, 0), wants("b", 0, 100)],
+    [105, 95],
+    [],
+  ],
+];
+for (const [name, loads, capacity, expected] of shifts)
+  test(`machines between shards: ${name}`, () => {
+    const rooms = new Map(capacity.map((cpus, i) => [shardId(i), cpus]));
+    const got = machineShifts(loads, rooms);
+    assert.deepEqual(
+      got.map((s) => `${s.from}>${s.to}:${Math.round(s.cpus)}`),
+      expected,
+    );
+  });
--- a/src/cli/packages.ts
+++ b/src/cli/packages.ts
@@ -17,7 +17,10 @@
   readonly whole?: boolean;
 }
 
-type LoadSpreadNumber = Exclude<keyof LoadSpreadSettings, "enabled" | "fairShares">;
+type LoadSpreadNumber = Exclude<
+  keyof LoadSpreadSettings,
+  "enabled" | "fairShares" | "balanceMachines"
+>;
 
 const LOAD_SPREAD = "load_spread";
 const LOAD_SPREAD_NUMBERS: readonly NumberSetting<LoadSpreadNumber>[] = [
@@ -36,7 +39,12 @@
 ];
 
 const loadSpread = (reader: Reader): LoadSpreadSettings => {
-  reader.only(["enabled", "fair_shares", ...LOAD_SPREAD_NUMBERS.map((s) => s.name)]);
+  reader.only([
+    "enabled",
+    "fair_shares",
+    "balance_machines",
+    ...LOAD_SPREAD_NUMBERS.map((s) => s.name),
+  ]);
   const numbers = Object.fromEntries(
     LOAD_SPREAD_NUMBERS.map((s) => {
       const read = s.whole === true ? reader.whole : reader.number;
@@ -47,6 +55,7 @@
     ...numbers,
     enabled: reader.flag("enabled", false),
     fairShares: reader.flag("fair_shares", true),
+    balanceMachines: reader.flag("balance_machines", true),
   };
   if (settings.minShare * settings.maxSpan > 1)
     reader.faults.push(`${LOAD_SPREAD}: max_span times min_share is more than the whole`);
--- a/src/coordination/fleet/planner.ts
+++ b/src/coordination/fleet/planner.ts
@@ -102,6 +102,12 @@
     this.owners.move(moves);
   }
 
+  /** Moves that others decided on: they count as planned here. */
+  requestMoves(moves: readonly MoveRequest[]): void {
+    this.#noteTransfers(moves, steadyNow());
+    this.owners.move(moves);
+  }
+
   /** Whether a task waits that its shard's owner must have laid over its own machines by now. */
   #someWait(): boolean {
     const at = timeOfDay();
--- a/src/coordination/leader.ts
+++ b/src/coordination/leader.ts
@@ -1,4 +1,5 @@
 import type { JobId } from "@umberfold/ids";
+import type { MoveRequest } from "../protocol/peer.js";
 import type { Report } from "../protocol/workers.js";
 import type { Calls } from "../transport/client.js";
 import type { Context } from "./context.js";
@@ -84,6 +85,11 @@
     await this.#planner.plan();
   }
 
+  /** Asks owners for machines, to be handed over once they are empty. */
+  moveMachines(moves: readonly MoveRequest[]): void {
+    this.#planner.requestMoves(moves);
+  }
+
   async rebalance(): Promise<void> {
     await this.#planner.rebalance();
   }
--- a/src/coordination/load-spread/load-spread.ts
+++ b/src/coordination/load-spread/load-spread.ts
@@ -16,6 +16,7 @@
 } from "@umberfold/load-spread";
 import { homeSpan, type Span, spanValue, stepSpan } from "@umberfold/spans";
 import type { JobSpec } from "../../protocol/jobs.js";
+import type { MoveRequest } from "../../protocol/peer.js";
 import type { Txn } from "../../protocol/store.js";
 import { keys } from "../../storage/records.js";
 import { steadyNow } from "../../transport/clock.js";
@@ -24,6 +25,7 @@
 import type { Membership } from "../membership.js";
 import type { ShardOwner } from "../shard-owner.js";
 import type { LoadSpreadHooks } from "./hooks.js";
+import { MachineBalance } from "./machine-balance.js";
 import { SpanRecords } from "./span-records.js";
 import { ownerLoads, quotaPart, quotaShare, teamLoads } from "./team-loads.js";
 
@@ -35,16 +37,21 @@
   readonly #spans: SpanRecords;
   readonly #planner: LoadSpreadPlanner;
   readonly #pressures = new Map<TeamName, Pressure>();
+  readonly #balance: MachineBalance;
   #transfers = 0;
+  #machinesMoved = 0;
 
   constructor(
     private readonly ctx: Context,
     private readonly membership: Membership,
     private readonly owner: ShardOwner,
     private readonly settings: LoadSpreadSettings,
+    /** Asks the machines' owners to hand them over once they are empty. */
+    private readonly moveMachines: (moves: readonly MoveRequest[]) => void,
   ) {
     this.#spans = new SpanRecords(ctx, new LeaderRecords(ctx, membership));
     this.#planner = new LoadSpreadPlanner(settings, steadyNow);
+    this.#balance = new MachineBalance(ctx);
   }
 
   /** What other parts may ask while it is on. */
@@ -72,6 +79,7 @@
       spans,
       placedJobs: replica.spans.placedJobs,
       transfers: this.#transfers,
+      machinesMoved: this.#machinesMoved,
       ...this.#spans.counters,
       ...this.#planner.counters,
     };
@@ -90,6 +98,7 @@
   async #lead(): Promise<void> {
     const loads = teamLoads(this.ctx);
     const owners = ownerLoads(this.ctx);
+    this.#balanceMachines(loads);
     const settled: TeamLoad[] = [];
     for (const load of loads) if (!(await this.#changeSpan(load, owners))) settled.push(load);
     await this.#plan(
@@ -98,6 +107,15 @@
     );
   }
 
+  #balanceMachines(loads: readonly TeamLoad[]): void {
+    const { enabled, balanceMachines } = this.settings;
+    if (!enabled || !balanceMachines) return;
+    const moves = this.#balance.moves(loads);
+    if (moves.length === 0) return;
+    this.#machinesMoved += moves.length;
+    this.moveMachines(moves);
+  }
+
   /** True if the team's span was changed, or can't be read: nothing is planned for it now. */
   async #changeSpan(load: TeamLoad, owners: readonly OwnerLoad[]): Promise<boolean> {
     const { team, home } = load;
--- a/src/coordination/load-spread/team-loads.ts
+++ b/src/coordination/load-spread/team-loads.ts
@@ -27,6 +27,7 @@
   waiting: number;
   waitingPart: number;
   largestPart: number;
+  cpus: number;
   oldest: number;
 }
 
@@ -37,6 +38,7 @@
   waiting: 0,
   waitingPart: 0,
   largestPart: 0,
+  cpus: 0,
   oldest: Number.POSITIVE_INFINITY,
 });
 
@@ -57,6 +59,7 @@
     const sums = of(name);
     for (const { needs, count } of counts.values()) {
       sums.open += count;
+      sums.cpus += count * needs.cpus;
       if (team !== undefined) sums.openPart += count * quotaPart(team, needs);
     }
   }
@@ -67,6 +70,7 @@
     const waiting = waitingCount(job);
     const part = quotaPart(team, job.spec.needs);
     sums.waiting += waiting;
+    sums.cpus += waiting * job.spec.needs.cpus;
     sums.waitingPart += waiting * part;
     sums.largestPart = Math.max(sums.largestPart, part);
     sums.oldest = Math.min(sums.oldest, job.acceptedAt);
@@ -82,9 +86,25 @@
   used: quotaShare(sums.openPart),
   demand: quotaShare(sums.openPart + sums.waitingPart),
   largest: quotaShare(sums.largestPart),
+  wantedCpus: sums.cpus,
   oldest: sums.oldest,
 });
 
+/** What a team wants beyond its limit it can't have: less of it in each shard alike. */
+const withinLimit = (
+  loads: ReadonlyMap<ShardId, ShardLoad> | undefined,
+  cpusMax: number,
+): ReadonlyMap<ShardId, ShardLoad> => {
+  if (loads === undefined) return new Map();
+  let cpus = 0;
+  for (const load of loads.values()) cpus += load.wantedCpus;
+  if (cpus <= cpusMax) return loads;
+  const part = cpusMax / cpus;
+  return new Map(
+    [...loads].map(([shard, load]) => [shard, { ...load, wantedCpus: load.wantedCpus * part }]),
+  );
+};
+
 /** What each team of the settings has, over all shards; reads the pages of all of them. */
 export const teamLoads = ({ replica, teams }: Context): readonly TeamLoad[] => {
   const shards = new Map<TeamName, Map<ShardId, ShardLoad>>();
@@ -95,11 +115,11 @@
       loads.set(shard, shardLoad(shard, sums));
     }
   const out: TeamLoad[] = [];
-  for (const team of teams.keys()) {
+  for (const [team, most] of teams) {
     const home = replica.teams?.value.get(team);
     if (home === undefined) continue;
     const span = replica.spans.records.get(team)?.value;
-    out.push({ team, home, span, shards: shards.get(team) ?? new Map() });
+    out.push({ team, home, span, shards: withinLimit(shards.get(team), most.cpusMax) });
   }
   return out;
 };
--- a/src/coordination/machine-records.ts
+++ b/src/coordination/machine-records.ts
@@ -158,12 +158,12 @@
     const { owned } = this;
     const note = owned.note(id);
     if (note.move === null) return undefined;
-    const { to, drain } = note.move;
+    const { to, drain, whenEmpty } = note.move;
     const empty = owned.ctx.replica.work(m.shard).openOn(id).size === 0;
     // What has exited there the next owner forgets, under its higher token.
     const idle = [...s.tasks.values()].every((x) => x.stage === "ended");
     const proved = empty && idle && (s.state === "ready" || s.report === undefined);
-    if (proved || !drain) note.move = null;
+    if (proved || !(drain || whenEmpty)) note.move = null;
     const floor = this.#above(owned.tokenOf(m));
     if (!proved || to === m.shard || floor === undefined) return undefined;
     return { kind: "move", to: { ...m, shard: to, floor } };
--- a/src/coordination/notes.ts
+++ b/src/coordination/notes.ts
@@ -29,7 +29,12 @@
   /** Returned once its open attempts are closed, or at once if `force`. */
   retire: { readonly reason: string; readonly force: boolean } | null;
   /** A shard that the leader wants it for. */
-  move: { readonly to: ShardId; readonly drain: boolean; readonly until: Mono } | null;
+  move: {
+    readonly to: ShardId;
+    readonly drain: boolean;
+    readonly whenEmpty: boolean;
+    readonly until: Mono;
+  } | null;
   directBusy: boolean;
   directAgain: boolean;
   /** The last time a call of ours was sent there. */
--- a/src/coordination/shard-owner.ts
+++ b/src/coordination/shard-owner.ts
@@ -92,7 +92,8 @@
   requestMove(m: MoveRequest): void {
     if (!this.owned.sessions.has(m.machine)) return;
     const until = mono(steadyNow() + MOVE_MS);
-    this.owned.note(m.machine).move = { to: m.to, drain: m.drain, until };
+    const { to, drain, whenEmpty = false } = m;
+    this.owned.note(m.machine).move = { to, drain, whenEmpty, until };
     this.owned.disturbed.add(m.machine);
     this.owned.wake();
   }
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -13,11 +13,15 @@
 import protobuf from "protobufjs/light.js";
 import { isJobId } from "./jobs.js";
 
-/** `drain`: stop what of lower rank runs there first. */
+/**
+ * `drain`: stop what of lower rank runs there first. `whenEmpty`: start nothing more there, and move
+ * it once what runs has ended. Neither: only if it is empty now.
+ */
 export interface MoveRequest {
   readonly machine: MachineId;
   readonly to: ShardId;
   readonly drain: boolean;
+  readonly whenEmpty?: boolean;
 }
 
 /** A cancellation that is known to be written: the record's revision, and the time it bears. */
@@ -58,6 +62,7 @@
         machine: { type: "string", id: 1 },
         to: { type: "uint32", id: 2 },
         drain: { type: "bool", id: 3 },
+        whenEmpty: { type: "bool", id: 4 },
       },
     },
     Cancelled: {
@@ -92,7 +97,7 @@
     longs: Number,
   }) as {
     from: string;
-    moves: { machine: string; to: number; drain: boolean }[];
+    moves: { machine: string; to: number; drain: boolean; whenEmpty: boolean }[];
     retire: string[];
     reason: string;
     cancelled: { job: string; rev: number; at: number }[];
@@ -104,6 +109,7 @@
       machine: machineId(m.machine),
       to: shardId(m.to),
       drain: m.drain,
+      ...(m.whenEmpty ? { whenEmpty: true } : {}),
     })),
     retire: o.retire.map(machineId),
     reason: o.reason,
--- a/src/service/load-spread-switch.ts
+++ b/src/service/load-spread-switch.ts
@@ -1,8 +1,10 @@
 import type { LoadSpreadSettings } from "@umberfold/load-spread";
 import type { Context } from "../coordination/context.js";
+import type { Leader } from "../coordination/leader.js";
 import type { LoadSpread } from "../coordination/load-spread/load-spread.js";
 import type { Membership } from "../coordination/membership.js";
 import type { ShardOwner } from "../coordination/shard-owner.js";
+import type { MoveRequest } from "../protocol/peer.js";
 
 /**
  * Loads the load-spread package where it is on, or where records of a time at which it was on are
@@ -17,6 +19,7 @@
     private readonly membership: Membership,
     private readonly owner: ShardOwner,
     private readonly settings: LoadSpreadSettings,
+    private readonly leader: Leader,
   ) {}
 
   async tick(): Promise<void> {
@@ -31,7 +34,8 @@
 
   async #load(): Promise<LoadSpread> {
     const { LoadSpread } = await import("../coordination/load-spread/load-spread.js");
-    this.#loaded = new LoadSpread(this.ctx, this.membership, this.owner, this.settings);
+    const move = (moves: readonly MoveRequest[]): void => this.leader.moveMachines(moves);
+    this.#loaded = new LoadSpread(this.ctx, this.membership, this.owner, this.settings, move);
     if (this.settings.enabled) this.ctx.loadSpread = this.#loaded.hooks();
     return this.#loaded;
   }
--- a/src/service/node.ts
+++ b/src/service/node.ts
@@ -108,7 +108,7 @@
   );
   const users = new Users(ctx, membership, wake, (w) => cancels.confirm(w));
 
-  const loadSpread = new LoadSpreadSwitch(ctx, membership, owner, packages.loadSpread);
+  const loadSpread = new LoadSpreadSwitch(ctx, membership, owner, packages.loadSpread, leader);
 
   const parts = { ctx, membership, owner, leader, cancels, users, wake };
   const sync = new ReplicaSync(ctx, membership, wake);
--- a/test/load-spread-days.test.ts
+++ b/test/load-spread-days.test.ts
@@ -21,6 +21,8 @@
     shrinkAfterS: 10,
     imbalance: 1.2,
     periodMs: 500,
+    // The solver's bound is of real time, which must not decide what a simulated day does.
+    solverMs: 10_000,
   },
 };
 const SCALE: Scale = { nodes: 3, machines: 16, quota: 24, tasks: 4 };
--- /dev/null
+++ b/test/machine-balance.test.ts
@@ -0,0 +1,80 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { type MachineId, machineId, revision, shardId, teamName, wall } from "@umberfold/ids";
+import type { ShardLoad, TeamLoad } from "@umberfold/load-spread";
+import { share } from "@umberfold/spans";
+import type { Context } from "../src/coordination/context.js";
+import { MachineBalance } from "../src/coordination/load-spread/machine-balance.js";
+import { decodePeer, EMPTY_MESSAGE, encodePeer } from "../src/protocol/peer.js";
+import { typesValue } from "../src/storage/cluster-records.js";
+import { fleetPageValue } from "../src/storage/pages.js";
+import { controllerIdValue, keys, type MachineRecord } from "../src/storage/records.js";
+import { Replica } from "../src/storage/replica.js";
+import { SimClock } from "./sim/clock.js";
+
+const BUSY = shardId(0);
+const QUIET = shardId(1);
+const CPUS = 8;
+const MACHINES = 10;
+
+const replicaWith = (stage: MachineRecord["stage"]): Replica => {
+  const replica = new Replica(2);
+  let rev = 0;
+  const put = (key: string, value: unknown): void =>
+    replica.apply({ kind: "put", key, value, rev: revision(++rev) });
+  const type = {
+    name: "w",
+    capacity: { cpus: CPUS, gpus: 0, ramGb: 32 },
+    ...{ cacheGb: 10, fetchGbPerS: 1, price: 1, spotPrice: 1, bootS: 1, zones: ["a"] },
+  };
+  put(keys.types, typesValue([type]));
+  for (const shard of [BUSY, QUIET])
+    put(keys.shard(shard), controllerIdValue({ label: "n" as never, incarnation: "i" as never }));
+  const row = { shard: BUSY, type: "w", zone: "a", spot: true, endpoint: "m:1", stage } as const;
+  const record = { ...row, rentedAt: wall(0), floor: revision(0) };
+  const page = Array.from({ length: MACHINES }, (_, i): readonly [MachineId, MachineRecord] => [
+    machineId(`m-${i}`),
+    record,
+  ]);
+  put(keys.fleet(BUSY, "1"), fleetPageValue(page));
+  return replica;
+};
+
+const load = (team: string, shard: ShardLoad["shard"], wantedCpus: number): TeamLoad => {
+  const none = { used: share(0), demand: share(0), largest: share(0), oldest: 0 };
+  const here = { shard, jobs: 1, open: 0, waiting: 1, wantedCpus, ...none };
+  return { team: teamName(team), home: shard, span: undefined, shards: new Map([[shard, here]]) };
+};
+
+const LOADS = [load("burst", BUSY, 1000), load("quiet", QUIET, 2 * CPUS)];
+
+const cases: readonly (readonly [string, MachineRecord["stage"], number])[] = [
+  // A tenth of all machines at a time.
+  ["machines that are up", "up", 1],
+  ["machines on their way out", "retiring", 0],
+];
+for (const [name, stage, expected] of cases)
+  test(`the shard that lacks its fair part is given ${name}: ${expected}`, () => {
+    const clock = new SimClock(1);
+    const balance = new MachineBalance({ replica: replicaWith(stage) } as unknown as Context);
+    const first = balance.moves(LOADS);
+    assert.equal(first.length, expected);
+    for (const move of first)
+      assert.deepEqual(
+        { ...move, machine: "" },
+        { machine: "", to: QUIET, drain: false, whenEmpty: true },
+      );
+    // One that was asked for counts where it goes, and isn't asked for again.
+    const second = balance.moves(LOADS);
+    assert.equal(second.length, expected);
+    assert.ok(second.every((m) => first.every((f) => f.machine !== m.machine)));
+    assert.equal(balance.moves(LOADS).length, 0, "by now it has what it needs");
+    clock.now = 60_000;
+    assert.equal(balance.moves(LOADS).length, expected, "asked anew where nothing came");
+  });
+
+test("a request to move a machine once it is empty reaches its owner so", () => {
+  const move = { machine: machineId("m-1"), to: QUIET, drain: false, whenEmpty: true };
+  const message = { ...EMPTY_MESSAGE, from: "n-0", moves: [move] };
+  assert.deepEqual(decodePeer(encodePeer(message)).moves, [move]);
+});
--- a/test/measure/planner.ts
+++ b/test/measure/planner.ts
@@ -42,7 +42,9 @@
     const largest = share(Math.floor(random() * 0.05 * WHOLE));
     const used = share(Math.floor((random() * WHOLE) / shards));
     const demand = share(used + waiting * largest);
-    loads.set(shard, { shard, jobs: 1, open, waiting, used, demand, largest, oldest: random() });
+    const wantedCpus = open + waiting;
+    const rest = { used, demand, largest, wantedCpus, oldest: random() };
+    loads.set(shard, { shard, jobs: 1, open, waiting, ...rest });
   }
   return { team: teamName(`t${n}`), home: shardId(0), span, shards: loads };
 };
