--- a/review/lib/standins.mjs
+++ b/review/lib/standins.mjs
@@ -124,6 +124,8 @@
   ledger = 0;
   onTxn = () => undefined;
   isRefused = () => false;
+  /** How long a call waits before it is handled; undefined: not at all. */
+  delay = undefined;
   limits = { valueKb: Number.POSITIVE_INFINITY, txnOps: Number.POSITIVE_INFINITY };
   #log = [];
   #waiting = new Set();
@@ -180,6 +182,7 @@
     const { pathname: target, searchParams: query } = url;
     if (target === "/follow") return this.#follow(label, query);
     await sleep(2);
+    await this.delay?.();
     if (this.isOut || this.isRefused(label)) return { status: 503, body: { error: "trouble" } };
     if (target === "/txn") {
       const hook = this.onTxn(label, body);
@@ -341,6 +344,8 @@
   tally = 0;
   token = 0;
   tasks = new Map();
+  /** When each image was, or will be, fetched. */
+  images = new Map();
   isAlive = true;
   /** A hanging machine neither reads nor sends nor runs its tasks, and may go on later. */
   isHanging = false;
@@ -374,6 +379,22 @@
     this.server.close();
     this.server.closeAllConnections();
   }
+  /** The controller to which it reports. */
+  get node() {
+    return this.nodes[this.#index];
+  }
+  /** Refuses new connections, and closes idle ones, until `accept`; open requests go on. */
+  refuse() {
+    this.port = this.server.address().port;
+    this.server.close();
+    this.server.closeIdleConnections();
+    this.record.line(this.machine.uid, "new connections are reset from now on");
+  }
+  accept() {
+    if (!this.isAlive || this.server.listening) return;
+    this.server.listen(this.port, HOST);
+    this.record.line(this.machine.uid, "new connections are accepted again");
+  }
   #drop() {
     for (const task of this.tasks.values()) if (task.stage !== "ended") this.#end(task, "dropped");
     this.tasks.clear();
@@ -540,7 +561,11 @@
       };
       setTimeout(complete, spec.runS * 1000);
     };
-    setTimeout(begin, this.pullS * 1000);
+    // An image that was fetched before is in the cache.
+    const { bolt } = spec;
+    const fetchedAt = this.images.get(bolt) ?? performance.now() + this.pullS * 1000;
+    this.images.set(bolt, fetchedAt);
+    setTimeout(begin, Math.max(0, fetchedAt - performance.now()));
   }
 }
 
@@ -699,6 +724,8 @@
     types: [
       { label: "mid-rack", cpus: 8, gpus: 0, ramGb: 32, cacheGb: 40, pullGbPerS: 0.5, price: 0.34,
         spotPrice: 0.1, bootS: 50, mills: ["pangyo-a", "songdo-c"] },
+      { label: "large-rack", cpus: 16, gpus: 0, ramGb: 64, cacheGb: 60, pullGbPerS: 0.5, price: 0.73,
+        spotPrice: 0.23, bootS: 25, mills: ["pangyo-a", "songdo-c"] },
     ],
   },
 };
