Review case 3: a controller that stood still returns a machine that another one holds

Cause: the enforcement of cancellations asks neither whether the process was paused nor whether its lease is valid, and its last means, the return of a machine by a direct call to the cloud, is fenced off by no token. After a pause it judges by the records and the worker session of before it.

--- a/review/lib/standins.mjs
+++ b/review/lib/standins.mjs
@@ -281,13 +281,20 @@
   constructor(record, { types, capacity, bootS, onUp, onGone }) {
     Object.assign(this, { record, types, capacity, bootS, onUp, onGone });
   }
-  async open() {
-    this.server = await serve((...args) => this.#handle(...args));
-    return addressOf(this.server);
+  #servers = [];
+  /** Machines returned so far, and the controller that asked for it. */
+  returns = [];
+  /** Each controller has its own port, so that its calls are told apart. */
+  async open(label) {
+    const server = await serve((...args) => this.#handle(label, ...args));
+    this.#servers.push(server);
+    return addressOf(server);
   }
   close() {
-    this.server.close();
-    this.server.closeAllConnections();
+    for (const server of this.#servers) {
+      server.close();
+      server.closeAllConnections();
+    }
   }
   /** A new machine that is up after `bootS`. */
   add({ frame, mill, remnant }, bootS = this.bootS) {
@@ -308,12 +315,15 @@
     if (!this.machines.delete(uid)) return;
     this.onGone(uid);
   }
-  #handle(method, url, body) {
+  #handle(label, method, url, body) {
     if (this.isDown()) return { status: 503, body: { error: "trouble" } };
     if (url.pathname === "/flavors") return { status: 200, body: { frames: this.types } };
     if (url.pathname === "/machines/return") {
-      this.record.line("cloud", "machines returned", body.looms);
-      for (const uid of body.looms) this.remove(uid);
+      this.record.line("cloud", `machines returned by ${label}`, body.looms);
+      for (const uid of body.looms) {
+        if (this.machines.has(uid)) this.returns.push({ uid, label });
+        this.remove(uid);
+      }
       return { status: 200, body: {} };
     }
     if (url.pathname === "/machines" && method === "POST") {
@@ -598,7 +608,7 @@
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), "umberfold-review-"));
   }
   /** `peerVia(from, to)`: the address at which `from` reaches `to`; default: its own. */
-  async prepare(count, site, { stateOf, cloud, peerVia }) {
+  async prepare(count, site, { stateOf, cloudOf, peerVia }) {
     const ports = await freePorts(2 * count);
     this.nodes = Array.from({ length: count }, (_, i) => ({
       label: `loom-${i}`,
@@ -611,6 +621,7 @@
         if (other !== node)
           seeds.push({ label: other.label, address: (await peerVia?.(node, other)) ?? other.internal });
       const state = await stateOf(node.label);
+      const cloud = await cloudOf(node.label);
       fs.writeFileSync(this.#file(node.label), settings(node, seeds, { state, cloud, count, ...site }));
     }
   }
@@ -755,9 +766,8 @@
     this.options = { controllers, peerVia };
   }
   async prepare() {
-    const cloud = await this.cloud.open();
     await this.controllers.prepare(this.options.controllers, this.site, {
-      cloud,
+      cloudOf: (label) => this.cloud.open(label),
       stateOf: (label) => this.state.open(label),
       peerVia: this.options.peerVia,
     });
