--- a/review/lib/standins.mjs
+++ b/review/lib/standins.mjs
@@ -870,6 +870,8 @@
 /** Runs a case: exit 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
 export const runCase = async (cluster, play, limitS = 115) => {
   let code = 2;
+  for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"])
+    process.once(signal, () => cluster.close().finally(() => process.exit(2)));
   const timeout = sleep(limitS * 1000).then(() => ({ isOver: true }));
   try {
     const result = await Promise.race([play(cluster), timeout]);
