--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -89,6 +89,7 @@
     if (fault.lose) return NO_ANSWER;
     if (fault.reset) return RESET;
     if (fault.after !== undefined) await fault.after;
+    if (fault.slow !== undefined) await sleep(fault.slow());
     return answer;
   }
 
