--- a/review/lib-2/wire.mjs
+++ b/review/lib-2/wire.mjs
@@ -128,19 +128,22 @@
     request.end(payload);
   });
 
-/** Free loopback ports, found by listening on them for a moment. */
+/**
+ * Free loopback ports for processes that are started later. They are taken below the range from which the
+ * system gives ports to clients, so that nothing else gets them in the meantime.
+ */
 export const freePorts = async (count) => {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise((resolve) => {
-          const server = net.createServer();
-          server.listen(0, "127.0.0.1", () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map((server) => server.address().port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
+  const servers = new Map();
+  while (servers.size < count) {
+    const port = 15_000 + Math.floor(Math.random() * 15_000);
+    if (servers.has(port)) continue;
+    const server = net.createServer();
+    const isFree = await new Promise((resolve) => {
+      server.once("error", () => resolve(false));
+      server.listen(port, "127.0.0.1", () => resolve(true));
+    });
+    if (isFree) servers.set(port, server);
+  }
+  await Promise.all([...servers.values()].map((server) => new Promise((resolve) => server.close(resolve))));
+  return [...servers.keys()];
 };
