--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -19,6 +19,8 @@
   };
   const timeout = sleep(LIMIT_MS).then(() => finish(2, "the time is over"));
   for (const name of ["SIGINT", "SIGTERM"]) process.on(name, () => void finish(2, name));
+  for (const name of ["uncaughtException", "unhandledRejection"])
+    process.on(name, (error) => void finish(2, String(error?.stack ?? error)));
   try {
     cluster.record("case", { trouble: TROUBLE });
     await cluster.start();
