--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -36,6 +36,35 @@
   ],
 };
 
+/** Settings like those of the second deployment of BRIEF-umberfold.md. */
+export const SITE_2 = {
+  name: "bapsang-pangyo",
+  size: 3,
+  zones: ["pangyo-a", "guro-b", "songdo-c", "busan-d"],
+  skewMs: 5,
+  workers: { report_s: 3, lease_s: 29, cancel_s: 59 },
+  state: { rps: 150, write_rps: 30, value_kb: 32, txn_ops: 16 },
+  cloud: { rps: 4, list_lag_s: 4 },
+  resources: { cpu_share: 0.136, ram_mb: 306, max_sockets: 2500 },
+  teams: Array.from({ length: 10 }, (_, i) => ({ name: `kitchen-platform-0${i}`, cpus: 32, cpus_max: 96 })),
+  objectives: [
+    { kind: "deadline", class: "order-close", times: 1, share: 0.95 },
+    { kind: "deadline", class: "prep-sheets", times: 1, share: 0.9 },
+    { kind: "guarantee", within_s: 10, share: 0.88 },
+  ],
+  types: [
+    { label: "small-rack", mills: ["pangyo-a", "guro-b"], cpus: 4, gpus: 0, ramGb: 16, cacheGb: 70, pullGbPerS: 1, price: 0.18, spotPrice: 0.06, bootS: 35 },
+    { label: "mid-rack", mills: ["pangyo-a", "guro-b"], cpus: 8, gpus: 0, ramGb: 32, cacheGb: 35, pullGbPerS: 0.2, price: 0.34, spotPrice: 0.1, bootS: 50 },
+    { label: "large-rack", mills: ["pangyo-a", "guro-b", "songdo-c", "busan-d"], cpus: 16, gpus: 0, ramGb: 64, cacheGb: 40, pullGbPerS: 0.3, price: 0.73, spotPrice: 0.23, bootS: 25 },
+  ],
+};
+/** What the cloud has of each type and zone: ordinary and spot machines. */
+export const CAPACITY_2 = {
+  "small-rack": { "pangyo-a": [3, 6], "guro-b": [5, 10] },
+  "mid-rack": { "pangyo-a": [3, 3], "guro-b": [5, 5] },
+  "large-rack": { "pangyo-a": [1, 1], "songdo-c": [1, 1], "busan-d": [1, 1], "guro-b": [1, 1] },
+};
+
 const real = (value) => (Number.isInteger(value) ? value.toFixed(1) : String(value));
 
 export class Cluster {
@@ -123,7 +152,7 @@
       `[services]\ncloud = "${this.options.cloudAddress?.(label) ?? this.cloudAddress}"\nstate = "${state}"\n`,
       `[params]\nsize = ${site.size}\nzones = ${JSON.stringify(site.zones)}\nskew_ms = ${real(site.skewMs)}\n`,
       ...site.teams.map((team) => `[[params.teams]]\nname = "${team.name}"\ncpus = ${real(team.cpus)}\ncpus_max = ${real(team.cpus_max)}\ngpus = 0.0\ngpus_max = 0.0\n`),
-      ...site.objectives.map((each) => `[[params.objectives]]\nkind = "${each.kind}"\nclass = "${each.class}"\nwithin_s = ${real(each.within_s)}\nshare = ${real(each.share)}\n`),
+      ...site.objectives.map((each) => `[[params.objectives]]\n${Object.entries(each).map(([key, value]) => `${key} = ${typeof value === "string" ? `"${value}"` : real(value)}`).join("\n")}\n`),
       section("workers", site.workers, format),
       section("state", site.state, format),
       section("cloud", site.cloud, format),
