Unlisted starts: look at the open attempts only

Cause: the check for executed starts that a worker doesn't list went through all deliveries of each examined machine and built a key for each, in every round, although only open attempts need an answer.

Change: it goes through the machine's open attempts in the loop that was there already, and compares numbers. An attempt whose record is closed no longer raises a token by itself.

--- a/packages/ids/src/index.ts
+++ b/packages/ids/src/index.ts
@@ -72,10 +72,6 @@
 /** Returns a map key that is unique for each attempt of each task. */
 export const attemptKey = (task: TaskId, attempt: AttemptNumber): string => `${task}#${attempt}`;
 
-/** Returns the task of an attempt key: the inverse of `attemptKey` for the task. */
-export const taskOfAttemptKey = (key: string): TaskId =>
-  key.slice(0, key.lastIndexOf("#")) as TaskId;
-
 /**
  * Splits a task id into its job and index: the inverse of `taskId`. The index is NaN if the text is
  * not a task id.
--- a/src/coordination/ownership/token-raise.ts
+++ b/src/coordination/ownership/token-raise.ts
@@ -3,7 +3,7 @@
  * higher token rejects every start that was sent under a lower one, so such starts no longer have
  * to be remembered.
  */
-import { attemptKey, taskOfAttemptKey } from "@umberfold/ids";
+import { type AttemptNumber, attemptKey, type TaskId } from "@umberfold/ids";
 import { isStartExcluded } from "./start-delivery.js";
 import type { WorkerSession } from "./worker-session.js";
 
@@ -20,20 +20,29 @@
 };
 
 /**
- * Whether only a higher token makes the absence of an attempt conclusive again: a start was lost
- * under the current token, or one was executed and the worker does not list its attempt, as when
- * its process was restarted. While the worker lists an attempt, duplicates of its start are
- * ignored.
+ * A start was lost under the current token: only a higher one makes absence conclusive again. Not
+ * if another call with it was answered: while the worker lists the attempt, copies are ignored.
  */
 export const mustRaiseToken = (session: WorkerSession): boolean => {
-  for (const [key, delivery] of session.startDeliveries) {
-    if (delivery.token !== session.token) continue;
-    if (delivery.hasAnsweredCall ? !listsAttempt(session, key) : delivery.hasLostCall) return true;
-  }
+  for (const { hasAnsweredCall, hasLostCall, token } of session.startDeliveries.values())
+    if (hasLostCall && !hasAnsweredCall && token === session.token) return true;
   return false;
 };
 
-const listsAttempt = ({ tasks }: WorkerSession, key: string): boolean => {
-  const status = tasks.get(taskOfAttemptKey(key));
-  return status !== undefined && attemptKey(status.task, status.attempt) === key;
+/**
+ * Whether an open attempt was started and the worker doesn't list it, as when its process was
+ * restarted: only a higher token makes its absence conclusive, because a duplicate of its start
+ * would be executed.
+ *
+ * @param key the attempt's key
+ */
+export const isExecutedButNotListed = (
+  session: WorkerSession,
+  task: TaskId,
+  attempt: AttemptNumber,
+  key: string,
+): boolean => {
+  if (session.tasks.get(task)?.attempt === attempt) return false;
+  const delivery = session.startDeliveries.get(key);
+  return delivery?.hasAnsweredCall === true && delivery.token === session.token;
 };
--- a/src/coordination/rounds/machine-record-changes.ts
+++ b/src/coordination/rounds/machine-record-changes.ts
@@ -7,7 +7,11 @@
 import type { MachineRecord } from "../../storage/records.js";
 import { isBlockedByEarlierAttempt } from "../ownership/attempt-observation.js";
 import type { ShardState } from "../ownership/shard-state.js";
-import { mustRaiseToken, shouldRaiseToken } from "../ownership/token-raise.js";
+import {
+  isExecutedButNotListed,
+  mustRaiseToken,
+  shouldRaiseToken,
+} from "../ownership/token-raise.js";
 import type { WorkerSession } from "../ownership/worker-session.js";
 import type { ShardRound } from "./shard-round.js";
 
@@ -93,9 +97,10 @@
 };
 
 /**
- * A higher token floor, if one is needed. It is urgent after a start command was lost, and when a
- * task cannot start because an ended attempt cannot be forgotten under the current token. It is not
- * urgent when it only lets the worker forget a large number of ended attempts.
+ * A higher token floor, if one is needed. It is urgent after a start command was lost, when a task
+ * cannot start because an ended attempt cannot be forgotten under the current token, and when an
+ * open attempt that was started is not listed. It is not urgent when it only lets the worker forget
+ * a large number of ended attempts.
  */
 const tokenRaiseChange = (
   state: ShardState,
@@ -108,7 +113,8 @@
   if (!isReadyWithDeliveries) tokenRaise.clear();
   const isUrgent =
     mustRaiseToken(session) ||
-    (isReadyWithDeliveries && (tokenRaise.isPending || hasBlockedTask(state, round, id, session)));
+    (isReadyWithDeliveries &&
+      (tokenRaise.isPending || hasUnprovedAttempt(state, round, id, session)));
   if (!isUrgent && !(shouldRaiseToken(session) && isReady)) return undefined;
   const tokenFloor = raisedTokenFloor(state, record);
   if (tokenFloor === undefined) return undefined;
@@ -118,16 +124,22 @@
 
 /**
  * Whether an open attempt on the machine cannot start, because the worker still lists an earlier
- * attempt of the same task that cannot be forgotten under the current token.
+ * attempt of the same task that cannot be forgotten under the current token, or cannot be concluded
+ * to be absent, because it was started there.
  */
-const hasBlockedTask = (
+const hasUnprovedAttempt = (
   state: ShardState,
   round: ShardRound,
   id: MachineId,
   session: WorkerSession,
 ): boolean => {
-  for (const [task, { attempt }] of state.ctx.replica.shardJobs(round.shard).openAttemptsOn(id))
-    if (isBlockedByEarlierAttempt(session, task, attempt)) return true;
+  const openAttempts = state.ctx.replica.shardJobs(round.shard).openAttemptsOn(id);
+  for (const [task, { attempt, key }] of openAttempts)
+    if (
+      isBlockedByEarlierAttempt(session, task, attempt) ||
+      isExecutedButNotListed(session, task, attempt, key)
+    )
+      return true;
   return false;
 };
 
--- a/test/coordination/ownership/late-start-copies.test.ts
+++ b/test/coordination/ownership/late-start-copies.test.ts
@@ -15,7 +15,10 @@
   reconcileCommands,
   startedAttemptKeys,
 } from "../../../src/coordination/ownership/reconciliation.js";
-import { mustRaiseToken } from "../../../src/coordination/ownership/token-raise.js";
+import {
+  isExecutedButNotListed,
+  mustRaiseToken,
+} from "../../../src/coordination/ownership/token-raise.js";
 import {
   newWorkerSession,
   stepWorkerSession,
@@ -27,7 +30,7 @@
 import type { RentedMachine } from "../../sim/fakes/cloud.js";
 import type { Body } from "../../sim/fakes/message.js";
 import { FakeWorker } from "../../sim/fakes/worker.js";
-import { TASK } from "./session-events.js";
+import { KEY, TASK } from "./session-events.js";
 
 const ATTEMPT = attemptNumber(1);
 const WORKER_LEASE_MS = 21_000;
@@ -101,7 +104,11 @@
     const hasEnded = observation.kind === "present" && observation.status.phase === "ended";
     const isAbsent = observation.kind === "absent" && this.#isStopRequested;
     if (hasEnded || isAbsent) this.isClosed = true;
-    if (mustRaiseToken(this.#session)) this.raiseToken();
+    const isUnlisted =
+      this.#session.state === "ready" &&
+      !this.isClosed &&
+      isExecutedButNotListed(this.#session, TASK, ATTEMPT, KEY);
+    if (isUnlisted || mustRaiseToken(this.#session)) this.raiseToken();
   }
 
   /** The owner sends the commands that are due, in a direct call. */
