--- a/src/coordination/cancellation/user-confirmations.ts
+++ b/src/coordination/cancellation/user-confirmations.ts
@@ -10,6 +10,7 @@
  */
 import type { JobId } from "@umberfold/ids";
 import type { CancellationNotice } from "../../protocol/peer.js";
+import { BoundedMap } from "../../storage/bounded-map.js";
 import { monotonicNow, sleep } from "../../transport/clock.js";
 import type { ControllerContext } from "../context.js";
 import type { Membership } from "../membership/membership.js";
@@ -26,7 +27,7 @@
 
 /** Confirms cancellations to users. */
 export class UserConfirmations {
-  readonly #confirmedJobs = new Set<JobId>();
+  readonly #confirmedJobs = new BoundedMap<JobId, true>(MAX_REMEMBERED_CONFIRMATIONS);
   readonly #inFlight = new Map<JobId, Promise<boolean>>();
   /** How many requests were confirmed or not confirmed since the process started. */
   readonly counters = { confirmed: 0, unconfirmed: 0 };
@@ -77,7 +78,7 @@
     const owner = shard === undefined ? undefined : this.membership.ownerOf(shard)?.label;
     if (owner === undefined) return this.#countResult(false);
     const acknowledged = owner === self.label || (await (acknowledgments.get(owner) ?? false));
-    if (acknowledged) this.#rememberConfirmed(notice.job);
+    if (acknowledged) this.#confirmedJobs.set(notice.job, true);
     return this.#countResult(acknowledged);
   }
 
@@ -85,13 +86,4 @@
     this.counters[confirmed ? "confirmed" : "unconfirmed"]++;
     return confirmed;
   }
-
-  #rememberConfirmed(job: JobId): void {
-    const oldest =
-      this.#confirmedJobs.size >= MAX_REMEMBERED_CONFIRMATIONS
-        ? this.#confirmedJobs.keys().next().value
-        : undefined;
-    if (oldest !== undefined) this.#confirmedJobs.delete(oldest);
-    this.#confirmedJobs.add(job);
-  }
 }
--- a/src/service/job-answers.ts
+++ b/src/service/job-answers.ts
@@ -18,6 +18,7 @@
   NO_PROGRESS,
 } from "../storage/records.js";
 import type { HttpResponse } from "../transport/server.js";
+import { absentAnswer, type JobAnswer, lastingAnswer, liveAnswer } from "./answer-freshness.js";
 import { tryAgain, UNKNOWN_JOB } from "./user-responses.js";
 
 /** The result of reading an accepted job that has no final record. */
@@ -56,33 +57,38 @@
     private readonly confirm: (notice: CancellationNotice) => Promise<boolean>,
   ) {}
 
-  /** The response for a job, for each result of reading it. */
-  async answer(id: JobId, found: JobLookup): Promise<HttpResponse> {
+  /** The answer for a job, for each result of reading it. */
+  async answer(id: JobId, found: JobLookup): Promise<JobAnswer> {
     switch (found.kind) {
       case "live":
         if (found.job.cancelledAt !== null) return this.answerCancelled(id, found);
-        return statusResponse(liveJobStatus(id, this.#withProgress(id, found.job)));
+        return liveAnswer(
+          id,
+          found,
+          statusResponse(liveJobStatus(id, this.#withProgress(id, found.job))),
+        );
       case "final":
-        return statusResponse(finalJobStatus(id, found.job));
+        return lastingAnswer(statusResponse(finalJobStatus(id, found.job)));
       case "none":
-        return UNKNOWN_JOB;
+        return absentAnswer(id, found.asOf, UNKNOWN_JOB);
       case "unavailable":
-        return tryAgain(503);
+        return lastingAnswer(tryAgain(503));
     }
   }
 
   /**
-   * The response for a cancelled live job. The cancellation is confirmed before each response that
-   * reports it, not only before the one to the cancel request.
+   * The answer for a cancelled live job. The cancellation is confirmed before each response that
+   * reports it, not only before the one to the cancel request. A cancellation is never undone, so
+   * the answer is right however long the confirmation takes.
    */
-  async answerCancelled(id: JobId, found: LiveJobLookup): Promise<HttpResponse> {
+  async answerCancelled(id: JobId, found: LiveJobLookup): Promise<JobAnswer> {
     const { job, rev } = found;
     const status = liveJobStatus(id, this.#withProgress(id, job));
     if (job.cancelledAt !== null && (await this.confirm({ job: id, rev, at: job.cancelledAt })))
-      return statusResponse(status);
+      return lastingAnswer(statusResponse(status));
     // Not confirmed. The job may have finished meanwhile, so that its live record was deleted.
     const now = await this.jobs.read(id);
-    return now.kind === "final" ? this.answer(id, now) : tryAgain(503);
+    return now.kind === "final" ? this.answer(id, now) : lastingAnswer(tryAgain(503));
   }
 
   /** Adds the job's progress from the replica, which may be stale; it is only displayed. */
--- a/src/service/job-cancellation.ts
+++ b/src/service/job-cancellation.ts
@@ -9,7 +9,7 @@
 import type { JobLookup } from "../storage/job-reader.js";
 import { encodeAcceptedJob, keys } from "../storage/records.js";
 import { monotonicNow, wallClockNow } from "../transport/clock.js";
-import type { HttpResponse } from "../transport/server.js";
+import { type JobAnswer, lastingAnswer } from "./answer-freshness.js";
 import type { JobWriteDependencies } from "./job-write-parts.js";
 import { tryAgain } from "./user-responses.js";
 
@@ -22,7 +22,7 @@
   constructor(private readonly dependencies: JobWriteDependencies) {}
 
   /** Idempotent: for a job that is finished or cancelled already, responds with its status. */
-  async cancel(id: JobId): Promise<HttpResponse> {
+  async cancel(id: JobId): Promise<JobAnswer> {
     const { ctx, jobs, writes, answers, wake } = this.dependencies;
     const deadline = monotonicNow() + WRITE_TIMEOUT_MS;
     for (let tryIndex = 0; tryIndex < MAX_WRITE_TRIES && monotonicNow() < deadline; tryIndex++) {
@@ -30,7 +30,7 @@
       const found = (tryIndex === 0 && this.#fromReplica(id)) || (await jobs.read(id));
       if (found.kind !== "live") return answers.answer(id, found);
       if (found.job.cancelledAt !== null) return answers.answer(id, found);
-      if (!ctx.store.tryTakeUrgentWriteBudget(1)) return tryAgain(429);
+      if (!ctx.store.tryTakeUrgentWriteBudget(1)) return lastingAnswer(tryAgain(429));
       const key = keys.live(id);
       const cancelled = { ...found.job, cancelledAt: wallClockNow() };
       const operations = [{ kind: "put", key, value: encodeAcceptedJob(cancelled) }] as const;
@@ -41,18 +41,13 @@
       if (result.kind === "applied") {
         applyCommitted(ctx.replica, operations, result.rev);
         wake();
-        const asOf = monotonicNow();
-        return answers.answerCancelled(id, {
-          kind: "live",
-          job: cancelled,
-          rev: result.rev,
-          asOf,
-        });
+        const { rev, sentAt } = result;
+        return answers.answerCancelled(id, { kind: "live", job: cancelled, rev, asOf: sentAt });
       }
       // A conflict: the record changed between the read and the write. Read it again.
-      if (result.kind !== "conflict") return tryAgain(503);
+      if (result.kind !== "conflict") return lastingAnswer(tryAgain(503));
     }
-    return tryAgain(503);
+    return lastingAnswer(tryAgain(503));
   }
 
   /** A live job from the replica; another controller may have changed its record since. */
--- a/src/service/job-submission.ts
+++ b/src/service/job-submission.ts
@@ -16,7 +16,8 @@
 import { fits } from "../scheduling/resources.js";
 import { encodeAcceptedJob, keys, newJob } from "../storage/records.js";
 import { monotonicNow, wallClockNow } from "../transport/clock.js";
-import { decodeBody, type HttpResponse } from "../transport/server.js";
+import { decodeBody } from "../transport/server.js";
+import { absentAnswer, type JobAnswer, lastingAnswer, writtenAnswer } from "./answer-freshness.js";
 import type { JobWriteDependencies } from "./job-write-parts.js";
 import { malformed, NOT_CBOR, neverRuns, tryAgain } from "./user-responses.js";
 
@@ -30,6 +31,8 @@
 
 const notRunnable = (reason: string): Runnability => ({ kind: "never_runs", reason });
 
+const NOT_CBOR_ANSWER = lastingAnswer(NOT_CBOR);
+
 /** Handles the users' submissions. */
 export class JobSubmission {
   #pendingCount = 0;
@@ -40,9 +43,9 @@
    * Decodes and handles a submission. Not an async function: another Promise would cost each
    * submission several turns of the microtask queue.
    */
-  submit(bytes: Buffer): Promise<HttpResponse> {
+  submit(bytes: Buffer): Promise<JobAnswer> {
     const decoded = decodeBody(bytes);
-    if (!decoded.ok) return Promise.resolve(NOT_CBOR);
+    if (!decoded.ok) return Promise.resolve(NOT_CBOR_ANSWER);
     const parsed = parseSubmission(decoded.value);
     return parsed.ok
       ? this.#submitParsed(parsed.value)
@@ -50,15 +53,16 @@
   }
 
   /** Rejects an invalid submission, unless its id is that of a known job. */
-  async #refuse(id: JobId | undefined, reason: string): Promise<HttpResponse> {
+  async #refuse(id: JobId | undefined, reason: string): Promise<JobAnswer> {
+    if (id === undefined) return lastingAnswer(malformed(reason));
     const { jobs, answers } = this.dependencies;
-    const found = id === undefined ? undefined : await jobs.read(id);
-    if (id !== undefined && found !== undefined && found.kind !== "none")
-      return answers.answer(id, found);
-    return malformed(reason);
+    const found = await jobs.read(id);
+    return found.kind === "none"
+      ? absentAnswer(id, found.asOf, malformed(reason))
+      : answers.answer(id, found);
   }
 
-  async #submitParsed(spec: JobSpec): Promise<HttpResponse> {
+  async #submitParsed(spec: JobSpec): Promise<JobAnswer> {
     const { ctx, jobs, answers } = this.dependencies;
     // Known jobs are looked up before the checks below, which an accepted job may fail by now: the
     // settings or machine types may have changed.
@@ -66,15 +70,16 @@
       const found = await jobs.read(spec.id);
       if (found.kind !== "none") return answers.answer(spec.id, found);
     }
-    if (!this.#knowsMachineTypes()) return tryAgain(503);
+    if (!this.#knowsMachineTypes()) return lastingAnswer(tryAgain(503));
     const runnability = this.#runnability(spec);
     if (runnability.kind === "never_runs") {
       const found = await jobs.read(spec.id);
-      if (found.kind !== "none") return answers.answer(spec.id, found);
-      return neverRuns(runnability.reason);
+      return found.kind === "none"
+        ? absentAnswer(spec.id, found.asOf, neverRuns(runnability.reason))
+        : answers.answer(spec.id, found);
     }
     if (this.#pendingCount >= this.#maxPending() || !ctx.store.tryTakeUrgentWriteBudget(1))
-      return tryAgain(429);
+      return lastingAnswer(tryAgain(429));
     this.#pendingCount++;
     const startedAt = monotonicNow();
     try {
@@ -116,7 +121,7 @@
     return { kind: "runnable" };
   }
 
-  async #accept(spec: JobSpec): Promise<HttpResponse> {
+  async #accept(spec: JobSpec): Promise<JobAnswer> {
     const { ctx, jobs, writes, answers, wake } = this.dependencies;
     const key = keys.live(spec.id);
     const shard = ctx.loadSpread?.placeJob(spec) ?? null;
@@ -132,11 +137,11 @@
     if (result.kind === "applied") {
       applyCommitted(ctx.replica, operations, result.rev);
       wake();
-      return { status: 201, body: acceptedBody(spec.id) };
+      return writtenAnswer(spec.id, result, { status: 201, body: acceptedBody(spec.id) });
     }
     // A conflict means that the job exists already. Without a result from the store the write may
     // or may not have been applied, so the user is asked to retry.
     if (result.kind === "conflict") return answers.answer(spec.id, await jobs.read(spec.id));
-    return tryAgain(503);
+    return lastingAnswer(tryAgain(503));
   }
 }
--- a/src/service/user-api.ts
+++ b/src/service/user-api.ts
@@ -2,7 +2,8 @@
  * The users' interface: submissions, cancellations, status requests and readiness.
  *
  * It owns the job reader and the group commit that all user requests share. Invariant: a response
- * about a job is based on a record that was read from the state store or was just written there.
+ * about a job is based on a record that was read from the state store or was just written there,
+ * and passes `AnswerFreshness` before it is returned.
  */
 import { jobId } from "@umberfold/ids";
 import type { ControllerContext } from "../coordination/context.js";
@@ -12,20 +13,18 @@
 import { CONDITION_LIMIT_RATIO } from "../protocol/store.js";
 import { GroupCommit } from "../storage/group-commit.js";
 import { JobReader } from "../storage/job-reader.js";
-import { monotonicNow } from "../transport/clock.js";
 import type { HttpResponse } from "../transport/server.js";
+import { AnswerFreshness } from "./answer-freshness.js";
 import { JobAnswers } from "./job-answers.js";
 import { JobCancellation } from "./job-cancellation.js";
 import { JobSubmission } from "./job-submission.js";
-import { readiness, tryAgain, UNKNOWN_JOB } from "./user-responses.js";
-
-/** A read that was requested longer ago than this is stale and is not used for a response. */
-const STALE_READ_MS = 1000;
+import { readiness, UNKNOWN_JOB } from "./user-responses.js";
 
 /** Handles user requests; each method returns the whole response. */
 export class UserApi {
   readonly #jobs: JobReader;
   readonly #answers: JobAnswers;
+  readonly #freshness: AnswerFreshness;
   readonly #submission: JobSubmission;
   readonly #cancellation: JobCancellation;
 
@@ -44,36 +43,37 @@
     this.#jobs = jobs;
     const answers = new JobAnswers(ctx, jobs, confirm);
     this.#answers = answers;
+    this.#freshness = new AnswerFreshness(ctx.replica);
     const dependencies = { ctx, jobs, writes, answers, wake };
     this.#submission = new JobSubmission(dependencies);
     this.#cancellation = new JobCancellation(dependencies);
   }
 
-  /** Counters of job lookups since the start. */
+  /** Counters of job lookups, and of responses that were withheld, since the start. */
   stats(): Readonly<Record<string, unknown>> {
-    return this.#jobs.counters;
+    return { ...this.#jobs.counters, ...this.#freshness.counters };
   }
 
   /**
    * Accepts a job or gives the reason for refusing it; for a known job, responds with its status.
    */
   submit(bytes: Buffer): Promise<HttpResponse> {
-    return this.#submission.submit(bytes);
+    return this.#freshness.respond(() => this.#submission.submit(bytes));
   }
 
   /** The status of a job; `id` is not validated yet. */
-  async getStatus(id: string): Promise<HttpResponse> {
-    if (!isJobId(id)) return UNKNOWN_JOB;
-    const found = await this.#jobs.read(jobId(id));
-    // The read may date from before a process pause; another controller may have reported more
-    // progress to the user since.
-    if (found.kind === "live" && monotonicNow() - found.asOf > STALE_READ_MS) return tryAgain(503);
-    return this.#answers.answer(jobId(id), found);
+  getStatus(id: string): Promise<HttpResponse> {
+    if (!isJobId(id)) return Promise.resolve(UNKNOWN_JOB);
+    const job = jobId(id);
+    return this.#freshness.respond(async () =>
+      this.#answers.answer(job, await this.#jobs.read(job)),
+    );
   }
 
   /** Cancels a job and responds after the cancellation is confirmed; `id` is not validated yet. */
   cancel(id: string): Promise<HttpResponse> {
-    return isJobId(id) ? this.#cancellation.cancel(jobId(id)) : Promise.resolve(UNKNOWN_JOB);
+    if (!isJobId(id)) return Promise.resolve(UNKNOWN_JOB);
+    return this.#freshness.respond(() => this.#cancellation.cancel(jobId(id)));
   }
 
   /**
--- a/src/storage/job-reader.ts
+++ b/src/storage/job-reader.ts
@@ -14,26 +14,29 @@
 import { type JobId, KEY_ABSENT, type MonotonicMs, type Revision } from "@umberfold/ids";
 import type { Condition } from "../protocol/store.js";
 import { monotonicNow, sleep } from "../transport/clock.js";
-import { FinalJobCache } from "./final-job-cache.js";
+import { BoundedMap } from "./bounded-map.js";
 import { type AcceptedJob, type FinalJob, parseAcceptedJob, parseFinalJob } from "./job-records.js";
 import { keys } from "./keys.js";
 import type { Replica } from "./replica.js";
 import type { StateStore } from "./state-store.js";
 
-/** The result of a lookup: the job's state in the state store. */
+/**
+ * The result of a lookup: the job's state in the state store. `asOf` is when the request that
+ * confirmed it was sent: the state is at least as recent as this. A final state needs no time,
+ * because it never changes.
+ */
 export type JobLookup =
   /** Accepted, not finished. */
   | {
       readonly kind: "live";
       readonly job: AcceptedJob;
       readonly rev: Revision;
-      /** When the request that confirmed it was sent: the state is at least as recent as this. */
       readonly asOf: MonotonicMs;
     }
   /** Finished or cancelled; the final record exists. */
   | { readonly kind: "final"; readonly job: FinalJob }
-  /** Neither record exists: the job was never accepted. */
-  | { readonly kind: "none" }
+  /** Neither record existed: the job had not been accepted by then. */
+  | { readonly kind: "none"; readonly asOf: MonotonicMs }
   /** Unknown: the state store did not answer, or the queue or the request budget was exhausted. */
   | { readonly kind: "unavailable" };
 
@@ -67,11 +70,11 @@
 }
 
 const UNAVAILABLE: JobLookup = { kind: "unavailable" };
-const NONE: JobLookup = { kind: "none" };
 
 /** Looks up jobs in the state store; see the module comment. */
 export class JobReader {
-  readonly #finalJobs = new FinalJobCache(MAX_CACHED_FINAL_JOBS);
+  /** Final records never change, so cached ones never become stale. */
+  readonly #finalJobs = new BoundedMap<JobId, FinalJob>(MAX_CACHED_FINAL_JOBS);
   readonly #finalReads = new Map<JobId, Promise<JobLookup>>();
   /** Pending lookups by job, oldest first. */
   readonly #queue = new Map<JobId, PendingLookup>();
@@ -119,14 +122,15 @@
     return read;
   }
 
-  async #readFinal(id: JobId): Promise<JobLookup> {
+  /** Reads the final record. `asOf`: when the job's absence was known otherwise, if it was. */
+  async #readFinal(id: JobId, asOf = monotonicNow()): Promise<JobLookup> {
     if (!(await this.#waitForBudget())) return UNAVAILABLE;
     const read = await this.store.get(keys.final(id));
     if (read.kind === "unavailable") return UNAVAILABLE;
-    if (read.kind === "absent") return { kind: "none" };
+    if (read.kind === "absent") return { kind: "none", asOf };
     const job = parseFinalJob(read.item.value);
     if (job === undefined) return UNAVAILABLE;
-    this.#finalJobs.put(id, job);
+    this.#finalJobs.set(id, job);
     return { kind: "final", job };
   }
 
@@ -139,7 +143,7 @@
     const asOf = monotonicNow();
     const read = await this.store.get(keys.live(id));
     if (read.kind === "unavailable") return UNAVAILABLE;
-    if (read.kind === "absent") return this.#readFinal(id);
+    if (read.kind === "absent") return this.#readFinal(id, asOf);
     this.replica.apply({ kind: "put", ...read.item });
     const job = parseAcceptedJob(id, read.item.value);
     if (job === undefined) return UNAVAILABLE;
@@ -233,7 +237,10 @@
     const failedKeys = new Set(result.kind === "conflict" ? result.failed : []);
     for (const { lookup, replicated, conditions } of checks) {
       if (result.kind === "current")
-        resolveAll(lookup, replicated === undefined ? NONE : { kind: "live", ...replicated, asOf });
+        resolveAll(
+          lookup,
+          replicated === undefined ? { kind: "none", asOf } : { kind: "live", ...replicated, asOf },
+        );
       else if (result.kind === "unavailable") resolveAll(lookup, UNAVAILABLE);
       else if (conditions.some((each) => failedKeys.has(each.key))) this.#readRecords(lookup);
       else this.#requeue(lookup);
--- a/src/storage/replica.ts
+++ b/src/storage/replica.ts
@@ -22,10 +22,12 @@
 } from "@umberfold/ids";
 import type { MachineType } from "../protocol/cloud.js";
 import type { KeyValue, StoreChange } from "../protocol/store.js";
+import { BoundedMap } from "./bounded-map.js";
 import { parseMachineTypesRecord, parseTeams } from "./cluster-records.js";
 import { type ControllerId, parseControllerId } from "./controller-records.js";
 import { FleetIndex, type MachinePage } from "./fleet-index.js";
 import { type AcceptedJob, type LiveJob, parseAcceptedJob } from "./job-records.js";
+import { KeyRevisions } from "./key-revisions.js";
 import { classifyKey, type KeyKind, shardOfPage } from "./keys.js";
 import { type GoneRecord, type MachineRecord, parseGoneRecord } from "./machine-records.js";
 import { EMPTY_JOB_PAGE, parseMachinePage } from "./pages.js";
@@ -35,6 +37,9 @@
 import { SpanIndex } from "./span-index.js";
 import type { Versioned } from "./versioned.js";
 
+/** More than end within a second, the longest time for which an answer is held against them. */
+const MAX_RECENTLY_ENDED_JOBS = 4096;
+
 /** The local copy of the watched keys, by kind of record. */
 export class Replica {
   /** The records of live jobs (accepted, not finished). */
@@ -59,18 +64,15 @@
   syncedRevision = revision(0);
   /** The highest revision seen; changes between `syncedRevision` and this one may be missing. */
   latestSeenRevision = revision(0);
+  /** Jobs whose live record was deleted lately, because they are over. */
+  readonly recentlyEndedJobs = new BoundedMap<JobId, true>(MAX_RECENTLY_ENDED_JOBS);
   /** Jobs whose records were rewritten since the round last cleared this set. */
   readonly rewrittenJobs = new Set<JobId>();
   /** Machines recorded as gone since the round last cleared this set. */
   readonly recentlyGoneMachines = new Set<MachineId>();
   readonly #fleet = new FleetIndex((key) => this.revisionOf(key));
   readonly #jobsByShard = new Map<ShardId, ShardJobs>();
-  readonly #revisions = new Map<string, Revision>();
-  /**
-   * Keys whose deletion was applied before the watch reported it, with its revision: older changes
-   * that the watch reports later must not restore them.
-   */
-  readonly #deletedBeforeWatch = new Map<string, Revision>();
+  readonly #revisions = new KeyRevisions();
   readonly #handlers: Readonly<Record<KeyKind, RecordHandler>> = {
     live: {
       put: (name, value, rev) => this.#putAcceptedJob(jobId(name), value, rev),
@@ -207,13 +209,12 @@
 
   /** The revision of a key in this copy; `KEY_ABSENT` if the key does not exist. */
   revisionOf(key: string): Revision {
-    return this.#revisions.get(key) ?? KEY_ABSENT;
+    return this.#revisions.revisionOf(key);
   }
 
   /** Whether this change or a newer one of the same key has been applied. */
   isApplied(change: StoreChange): boolean {
-    const known = this.#revisions.get(change.key) ?? this.#deletedBeforeWatch.get(change.key);
-    return change.rev <= (known ?? KEY_ABSENT);
+    return this.#revisions.isRecorded(change);
   }
 
   /** Applies one change; ignores it if a newer one of the same key has been applied. */
@@ -221,16 +222,10 @@
     const { key, rev } = change;
     if (rev > this.latestSeenRevision) this.latestSeenRevision = rev;
     if (this.isApplied(change)) return;
+    this.#revisions.record(change, this.syncedRevision);
     const { kind, name } = classifyKey(key);
-    if (change.kind === "put") {
-      this.#revisions.set(key, rev);
-      this.#deletedBeforeWatch.delete(key);
-      this.#handlers[kind].put(name, change.value, rev, key);
-    } else {
-      this.#revisions.delete(key);
-      if (rev > this.syncedRevision) this.#deletedBeforeWatch.set(key, rev);
-      this.#handlers[kind].drop(name, key);
-    }
+    if (change.kind === "put") this.#handlers[kind].put(name, change.value, rev, key);
+    else this.#handlers[kind].drop(name, key);
   }
 
   /** Records that all changes up to `rev` have been applied. */
@@ -238,14 +233,13 @@
     if (rev <= this.syncedRevision) return;
     this.syncedRevision = rev;
     if (rev > this.latestSeenRevision) this.latestSeenRevision = rev;
-    for (const [key, deletedRev] of this.#deletedBeforeWatch)
-      if (deletedRev <= rev) this.#deletedBeforeWatch.delete(key);
+    this.#revisions.advanceTo(rev);
   }
 
   /** Applies a full scan: keys that it lacks are deleted, unless they are newer than the scan. */
   applyScan(items: readonly KeyValue[], rev: Revision): void {
     const present = new Set(items.map((item) => item.key));
-    for (const [key, knownRev] of [...this.#revisions])
+    for (const [key, knownRev] of [...this.#revisions.entries()])
       if (!present.has(key) && knownRev <= rev) this.apply({ kind: "delete", key, rev });
     for (const item of items) this.apply({ kind: "put", ...item });
     this.advanceTo(rev);
@@ -265,6 +259,7 @@
     this.#jobChanged(id);
     this.spans.jobChanged(this.acceptedJobs.get(id)?.value, undefined);
     this.acceptedJobs.delete(id);
+    this.recentlyEndedJobs.set(id, true);
   }
 
   #putMachinePage(shard: ShardId, key: string, value: unknown, rev: Revision): void {
--- a/src/storage/state-store.ts
+++ b/src/storage/state-store.ts
@@ -40,7 +40,8 @@
   readonly rev: Revision;
 }
 
-const CALL_TIMEOUT_MS = 1500;
+/** How long a call waits for its answer; after that its result is unknown. */
+export const CALL_TIMEOUT_MS = 1500;
 const SCAN_PAGE_TIMEOUT_MS = 4 * CALL_TIMEOUT_MS;
 /** Added to the duration of a watch to get the timeout of its call. */
 const WATCH_EXTRA_TIMEOUT_MS = 5000;
@@ -141,9 +142,9 @@
 
   /** Sends a transaction once. */
   async transact(transaction: Transaction): Promise<TransactionResult> {
-    return classifyTransaction(
-      await this.#call("POST", storePaths.transaction, transactionBody(transaction)),
-    );
+    const sentAt = monotonicNow();
+    const outcome = await this.#call("POST", storePaths.transaction, transactionBody(transaction));
+    return classifyTransaction(outcome, sentAt);
   }
 
   /**
--- a/src/storage/store-results.ts
+++ b/src/storage/store-results.ts
@@ -15,7 +15,7 @@
  * After `unknown` the caller must find out what happened, either by sending the transaction with
  * the same conditions again (`StateStore.commitUntilDecided`) or by reading the keys.
  */
-import type { Revision } from "@umberfold/ids";
+import type { MonotonicMs, Revision } from "@umberfold/ids";
 import {
   type KeyValue,
   parseChanges,
@@ -28,8 +28,8 @@
 
 /** The result of a transaction. */
 export type TransactionResult =
-  /** Applied; all its changes have the revision `rev`. */
-  | { readonly kind: "applied"; readonly rev: Revision }
+  /** Applied at some time after `sentAt`; all its changes have the revision `rev`. */
+  | { readonly kind: "applied"; readonly rev: Revision; readonly sentAt: MonotonicMs }
   /** Not applied. `failed` names keys whose condition did not hold; it need not name all. */
   | { readonly kind: "conflict"; readonly failed: readonly string[] }
   /** This controller's lease has expired or the request is malformed: it will never be applied. */
@@ -64,14 +64,21 @@
   | { readonly kind: "too_old" }
   | { readonly kind: "unavailable" };
 
-/** Classifies the outcome of a transaction; see the table in the module comment. */
-export const classifyTransaction = (outcome: CallResult): TransactionResult => {
+/**
+ * Classifies the outcome of a transaction; see the table in the module comment.
+ *
+ * @param sentAt when the transaction was sent
+ */
+export const classifyTransaction = (
+  outcome: CallResult,
+  sentAt: MonotonicMs,
+): TransactionResult => {
   if (outcome.kind === "unsent") return { kind: "unavailable" };
   if (outcome.kind === "lost") return { kind: "unknown" };
   switch (outcome.status) {
     case 200: {
       const rev = parseRevision(outcome.body);
-      return rev === undefined ? { kind: "unknown" } : { kind: "applied", rev };
+      return rev === undefined ? { kind: "unknown" } : { kind: "applied", rev, sentAt };
     }
     case 409:
       return { kind: "conflict", failed: parseFailedKeys(outcome.body) };
--- a/test/scenarios/combined-faults.test.ts
+++ b/test/scenarios/combined-faults.test.ts
@@ -183,6 +183,19 @@
     { ...NO_FAULTS, slowLinks: true, cancelAtOnce: true, crashes: true, zoneBound: true },
     "zoneBoundStarts",
   ],
+  // Guards against `went_back`: a controller answered, after a pause, with what it had read before.
+  [
+    "requests to controllers that pause while the jobs are cancelled elsewhere",
+    78,
+    { ...NO_FAULTS, requestsDuringPauses: true },
+    "requestsDuringPauses",
+  ],
+  [
+    "requests to controllers that pause, late writes and lost messages",
+    79,
+    { ...NO_FAULTS, requestsDuringPauses: true, lateWrites: true, lost: 0.02 },
+    "requestsDuringPauses",
+  ],
 ];
 for (const [name, seed, scenario, occurrence] of overlappingFaultDays)
   test(`the protocol rules hold and all jobs end under overlapping faults: ${name}`, async () => {
--- a/test/sim/fault-injection/fault-injection.ts
+++ b/test/sim/fault-injection/fault-injection.ts
@@ -28,7 +28,11 @@
   injectPermanentlyMutedMachines,
   injectSpotReclamation,
 } from "./machine-faults.js";
-import { injectOddRequests, injectSimultaneousCancellations } from "./request-faults.js";
+import {
+  injectOddRequests,
+  injectRequestsDuringPauses,
+  injectSimultaneousCancellations,
+} from "./request-faults.js";
 import { injectStoreOutageAfterRefusal } from "./store-outage-after-refusal.js";
 
 type Inject = (components: SimulationComponents) => void;
@@ -54,6 +58,7 @@
   ["allControllersAway", injectDowntimeOfAllControllers],
   ["zoneCut", injectZoneCut],
   ["oddRequests", injectOddRequests],
+  ["requestsDuringPauses", injectRequestsDuringPauses],
 ];
 
 /**
--- a/test/sim/faults.ts
+++ b/test/sim/faults.ts
@@ -32,6 +32,11 @@
   readonly spotWave?: boolean;
   /** One or two controller processes at a time pause, for less or more than a lease. */
   readonly processPauses?: boolean;
+  /**
+   * Users send a controller requests about jobs just before its process pauses, and cancel the jobs
+   * at other controllers while it is paused.
+   */
+  readonly requestsDuringPauses?: boolean;
   /** All controllers lose the state store, cloud, users and most workers for over two leases. */
   readonly allControllersCut?: boolean;
   /** All controllers crash together twice, once during an outage of the state store. */
--- a/test/sim/occurrences.ts
+++ b/test/sim/occurrences.ts
@@ -41,6 +41,8 @@
   lateSpanWrites: number;
   /** Process pauses of controllers. */
   processPauses: number;
+  /** Requests about a job to a controller that then paused, while the job was cancelled. */
+  requestsDuringPauses: number;
   /** Tasks that were stopped during an outage of the state store without a cancellation. */
   lostRuns: number;
   /** Starts of tasks on muted machines. */
@@ -69,6 +71,7 @@
   lateBoots: 0,
   lateSpanWrites: 0,
   processPauses: 0,
+  requestsDuringPauses: 0,
   lostRuns: 0,
   startsOnMutedMachines: 0,
   failedStarts: 0,
